--- a/src/bin/linnetfield-wirehost/main.rs
+++ b/src/bin/gaugestand-drill/main.rs
@@ -3,7 +3,7 @@
 
 mod wire;
 
-use linnetfield::{Action, Controller, Event, Time};
+use gaugestand::{Action, Controller, Event, Time};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
@@ -21,7 +21,7 @@
     match serve(stdin, stdout) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("linnetfield-wirehost: {problem}");
+            eprintln!("gaugestand-drill: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 //! of [`Event`]s and carries out the [`Action`]s it gets back.
 //!
 //! ```
-//! use linnetfield::*;
+//! use gaugestand::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![Class {
--- a/tests/wirehost.rs
+++ b/tests/drill.rs
@@ -8,7 +8,7 @@
     rules.fall-multiple=6 rules.fall=2000000000 caps.retry-after=true caps.max-retry-after=1000000000 new.key=x";
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_linnetfield-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_gaugestand-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
