Build the booking node: FastCGI, kernel, store and membership on one loop

src/facade.rs puts pick, report and tick before the controller and owns its timers, the table of keys with stored results, capacity, health and drain. src/node has a module for each stage of a request.

Not there yet: tests of the node over sockets and of its parsers, the README.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 #![forbid(unsafe_code)]
 
 mod decide;
+pub mod facade;
 mod interface;
 
 pub use decide::Controller;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,9 @@
 //! The command line of the booking node.
 #![deny(unsafe_code)]
 
+mod node;
+
 use bpaf::{OptionParser, Parser, construct, pure};
-use std::net::TcpListener;
 use std::process::ExitCode;
 
 /// What the program is asked to do.
@@ -10,38 +11,53 @@
 enum Command {
     /// Serve until told to stop.
     Serve,
+    /// Say whether the configuration is sound.
+    CheckConfig,
     /// Print the version.
     Version,
 }
 
 fn commands() -> OptionParser<Command> {
-    let serve = pure(Command::Serve).to_options().descr("Serve as one booking node").command("serve");
+    let serve = pure(Command::Serve)
+        .to_options()
+        .descr("Serve as one booking node, until SIGTERM and the drain that follows")
+        .command("serve");
+    let check = pure(Command::CheckConfig)
+        .to_options()
+        .descr("Read the configuration as 'serve' does and say whether it is sound")
+        .command("check-config");
     let version = pure(Command::Version).to_options().descr("Print the version").command("version");
-    construct!([serve, version]).to_options().descr("A booking node")
+    construct!([serve, check, version])
+        .to_options()
+        .descr("A booking node: FastCGI requests in, admission decided, work done by the kernel")
+}
+
+fn serve() -> Result<(), String> {
+    let config = node::config::load().map_err(|e| e.to_string())?;
+    let name = config.name.clone();
+    let mut node = node::turn::Node::start(config).map_err(|e| e.to_string())?;
+    if let Some(address) = node.address() {
+        eprintln!("gaugestand: {name} listens on {address}");
+    }
+    node.run().map_err(|e| e.to_string())
 }
 
 fn main() -> ExitCode {
-    match commands().run() {
+    let done = match commands().run() {
         Command::Version => {
             println!("gaugestand {}", env!("CARGO_PKG_VERSION"));
-            ExitCode::SUCCESS
+            Ok(())
+        }
+        Command::CheckConfig => node::config::load().map_err(|e| e.to_string()).map(|c| {
+            println!("{}: sound, {} classes, {} sockets", c.name, c.classes.len(), c.sockets);
+        }),
+        Command::Serve => serve(),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("gaugestand: {problem}");
+            ExitCode::FAILURE
         }
-        Command::Serve => match serve() {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(problem) => {
-                eprintln!("gaugestand: {problem}");
-                ExitCode::FAILURE
-            }
-        },
-    }
-}
-
-/// Listens and closes each connection: nothing is spoken yet.
-fn serve() -> Result<(), String> {
-    let address = std::env::var("BALANCER_LISTEN").map_err(|_| "BALANCER_LISTEN is not set")?;
-    let listener = TcpListener::bind(&address).map_err(|e| format!("{address}: {e}"))?;
-    for connection in listener.incoming() {
-        drop(connection);
     }
-    Ok(())
 }
--- /dev/null
+++ b/src/node/config.rs
@@ -0,0 +1,322 @@
+//! The configuration: the BALANCER variables and the JSON file that one of them names.
+
+use gaugestand::facade::Micros;
+use gaugestand::{
+    Below, Class, Controller, Effect, Halt, Settings, SettingsError, Signal, Span, Tenant, WorthBy,
+};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::{env, fmt, fs};
+
+/// Fewest descriptors with which anything can be served: the node's own and a few connections.
+const LEAST_SOCKETS: usize = 32;
+/// Settings beyond this are absurd: cores, classes, requests.
+const MOST: f64 = 1e6;
+
+/// What a node is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where gateways connect.
+    pub listen: SocketAddr,
+    /// What does the work.
+    pub kernel: SocketAddr,
+    /// Where it reports that it lives.
+    pub members: Option<SocketAddr>,
+    /// Where its calls go.
+    pub store: Option<SocketAddr>,
+    /// For random choices.
+    pub seed: u64,
+    /// From the notice to leave to the end.
+    pub stop: Micros,
+    /// Descriptors it may hold.
+    pub sockets: usize,
+    /// Names of the classes, by index.
+    pub classes: Vec<String>,
+    /// Which of them are keyed.
+    pub keyed: Vec<bool>,
+    /// Names of the kernel's gauges, in their order.
+    pub gauges: Vec<String>,
+    /// What the decisions are told.
+    pub settings: Settings,
+}
+
+/// What is wrong with the configuration, in one line.
+#[derive(Debug)]
+pub struct ConfigError(String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "configuration: {}", self.0)
+    }
+}
+
+impl From<SettingsError> for ConfigError {
+    fn from(e: SettingsError) -> Self {
+        ConfigError(e.to_string())
+    }
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    kernel: Option<String>,
+    members: Option<String>,
+    store: Option<String>,
+    seed: Option<String>,
+    stop_ms: u64,
+    limits: Limits,
+    settings: Told,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+/// The settings, under the names and in the units of the simulator's first message.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Told {
+    classes: Vec<ToldClass>,
+    #[serde(default)]
+    realms: Vec<ToldRealm>,
+    #[serde(default)]
+    over_share_worth: f64,
+    worth_by: Option<String>,
+    #[serde(default)]
+    fleet_size: f64,
+    extra: Extra,
+    caps: Caps,
+    rules: Rules,
+    tick: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ToldClass {
+    name: String,
+    goal_time: u64,
+    #[serde(default)]
+    aim_stretch: f64,
+    hard_limit: u64,
+    worth: f64,
+    #[serde(default)]
+    late_worth: f64,
+    effect: String,
+    #[serde(default)]
+    dedup_window: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ToldRealm {
+    #[serde(default)]
+    quota_per_s: f64,
+    #[serde(default)]
+    share: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Extra {
+    below: Option<String>,
+    #[serde(default)]
+    callers: f64,
+    #[serde(default)]
+    calls_out: f64,
+    #[serde(default)]
+    class_calls: Vec<bool>,
+    #[serde(default)]
+    class_skip_worth: Vec<f64>,
+    #[serde(default)]
+    cold: bool,
+    cores: f64,
+    #[serde(default)]
+    dep_window: u64,
+    #[serde(default)]
+    fresh_for: u64,
+    #[serde(default)]
+    full_checks: bool,
+    #[serde(default)]
+    gauges: Vec<String>,
+    halt: Option<String>,
+    #[serde(default)]
+    heeded: u64,
+    heap_kb: f64,
+    #[serde(default)]
+    key_kb: f64,
+    #[serde(default)]
+    list_follows: bool,
+    run_factor: f64,
+    signal: Option<String>,
+    #[serde(default)]
+    stays_for: u64,
+    #[serde(default)]
+    caller_idle: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Caps {
+    #[serde(default)]
+    max_retry_after: u64,
+    #[serde(default)]
+    retry_after: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Rules {
+    grace_to_answer: u64,
+    #[serde(default)]
+    cold_share: f64,
+    #[serde(default)]
+    cold: u64,
+    drain_grace: u64,
+    fall: u64,
+    fall_multiple: f64,
+}
+
+fn wrong<T>(key: &str, why: &str) -> Result<T, ConfigError> {
+    Err(ConfigError(format!("{key}: {why}")))
+}
+
+/// Reads the configuration that the environment names.
+pub fn load() -> Result<Config, ConfigError> {
+    let Ok(path) = env::var("BALANCER_CONFIG") else { return wrong("BALANCER_CONFIG", "is not set") };
+    let text = fs::read_to_string(&path).or_else(|e| wrong("BALANCER_CONFIG", &e.to_string()))?;
+    let mut file: File = serde_json::from_str(&text).or_else(|e| wrong("BALANCER_CONFIG", &e.to_string()))?;
+    file.name = env::var("BALANCER_NAME").ok().or(file.name);
+    file.listen = env::var("BALANCER_LISTEN").ok().or(file.listen);
+    check(file)
+}
+
+fn check(file: File) -> Result<Config, ConfigError> {
+    let name = file.name.unwrap_or_default();
+    if name.is_empty() || name.contains(char::is_whitespace) {
+        return wrong("name", "must be one word");
+    }
+    let sockets = file.limits.sockets;
+    if sockets < LEAST_SOCKETS {
+        return wrong("limits.sockets", &format!("must be at least {LEAST_SOCKETS}"));
+    }
+    if file.stop_ms == 0 {
+        return wrong("stop_ms", "must be above 0");
+    }
+    let seed = match file.seed.as_deref().map(|s| u64::from_str_radix(s, 16)) {
+        None => 0,
+        Some(Ok(seed)) => seed,
+        Some(Err(_)) => return wrong("seed", "must be hexadecimal"),
+    };
+    let told = file.settings;
+    let settings = settings(&told)?;
+    Controller::new(settings.clone(), seed)?;
+    Ok(Config {
+        name,
+        listen: address("listen", file.listen)?,
+        kernel: address("kernel", file.kernel)?,
+        members: file.members.map(|a| address("members", Some(a))).transpose()?,
+        store: file.store.map(|a| address("store", Some(a))).transpose()?,
+        seed,
+        stop: Micros::millis(file.stop_ms),
+        sockets,
+        keyed: settings.classes.iter().map(|c| c.effect == Effect::Keyed).collect(),
+        classes: told.classes.into_iter().map(|c| c.name).collect(),
+        gauges: told.extra.gauges,
+        settings,
+    })
+}
+
+fn address(key: &str, text: Option<String>) -> Result<SocketAddr, ConfigError> {
+    match text.as_deref().map(str::parse) {
+        Some(Ok(address)) => Ok(address),
+        Some(Err(_)) => wrong(key, "is not an address and a port"),
+        None => wrong(key, "is missing"),
+    }
+}
+
+fn within(key: &str, x: f64, least: f64) -> Result<f64, ConfigError> {
+    if (least..=MOST * MOST).contains(&x) { Ok(x) } else { wrong(key, "is out of range") }
+}
+
+fn count(key: &str, x: f64, least: f64) -> Result<u32, ConfigError> {
+    if (least..=MOST).contains(&x) { Ok(x as u32) } else { wrong(key, "is out of range") }
+}
+
+fn class(told: &Told, i: usize) -> Result<Class, ConfigError> {
+    let c = &told.classes[i];
+    let key = |name: &str| format!("settings.classes.{i}.{name}");
+    if c.name.is_empty() || told.classes[..i].iter().any(|other| other.name == c.name) {
+        return wrong(&key("name"), "must be there once");
+    }
+    Ok(Class {
+        aim: Span(c.goal_time),
+        aim_stretch: within(&key("aim-stretch"), c.aim_stretch, 0.0)?,
+        deadline: Span(c.hard_limit),
+        worth: within(&key("worth"), c.worth, 0.0)?,
+        late_worth: within(&key("late-worth"), c.late_worth, 0.0)?,
+        effect: match c.effect.as_str() {
+            "pure" => Effect::Pure,
+            "token" => Effect::Keyed,
+            "side_effect" => Effect::Unsafe,
+            _ => return wrong(&key("effect"), "is none of pure, token, side_effect"),
+        },
+        dedup_window: Span(c.dedup_window),
+        calls: told.extra.class_calls.get(i).copied().unwrap_or(false),
+        skip_worth: told.extra.class_skip_worth.get(i).copied().unwrap_or(0.0),
+    })
+}
+
+fn settings(told: &Told) -> Result<Settings, ConfigError> {
+    let (x, rules) = (&told.extra, &told.rules);
+    let classes = (0..told.classes.len()).map(|i| class(told, i)).collect::<Result<_, _>>()?;
+    let tenants = told.realms.iter().map(|r| Tenant { quota_per_s: r.quota_per_s, share: r.share }).collect();
+    Ok(Settings {
+        classes,
+        tenants,
+        over_share_worth: within("settings.over-share-worth", told.over_share_worth, 0.0)?,
+        worth_by: if told.worth_by.as_deref() == Some("work") { WorthBy::Work } else { WorthBy::Request },
+        fleet_size: count("settings.fleet-size", told.fleet_size, 0.0)?,
+        callers: count("settings.extra.callers", x.callers, 0.0)?,
+        cores: count("settings.extra.cores", x.cores, 1.0)?,
+        memory_kb: within("settings.extra.heap-kb", x.heap_kb, 1.0)?,
+        run_factor: within("settings.extra.run-factor", x.run_factor, 0.0)?,
+        key_kb: within("settings.extra.key-kb", x.key_kb, 0.0)?,
+        below: match x.below.as_deref() {
+            Some("one_for_all") => Below::Shared,
+            Some("tier") => Below::Tier,
+            _ => Below::Nothing,
+        },
+        calls_out: within("settings.extra.calls-out", x.calls_out, 0.0)?,
+        call_window: Span(x.dep_window),
+        call_lingers: Span(x.stays_for),
+        halt: match x.halt.as_deref() {
+            Some("discard") => Halt::Discard,
+            Some("freeze") => Halt::Freeze,
+            _ => Halt::Never,
+        },
+        signal: match x.signal.as_deref() {
+            Some("floor") => Signal::Floor,
+            Some("allowance") => Signal::Allowance,
+            Some("weight") => Signal::Weight,
+            _ => Signal::Silent,
+        },
+        heeded: Span(x.heeded),
+        max_stay_away: told.caps.retry_after.then_some(Span(told.caps.max_retry_after)),
+        caller_idle: Span(x.caller_idle),
+        fresh_for: Span(x.fresh_for),
+        full_checks: x.full_checks,
+        list_follows: x.list_follows,
+        cold: x.cold,
+        cold_for: Span(rules.cold),
+        cold_share: within("settings.rules.cold-share", rules.cold_share, 0.0)?,
+        crowd_window: Span(rules.fall),
+        crowd_multiple: within("settings.rules.fall-multiple", rules.fall_multiple, 0.0)?,
+        drain_grace: Span(rules.drain_grace),
+        answer_slack: Span(rules.grace_to_answer),
+        tick: Span(told.tick),
+    })
+}
--- /dev/null
+++ b/src/node/members.rs
@@ -0,0 +1,49 @@
+//! Reports to the membership service: one datagram each, with no answer.
+
+use super::counters::Counters;
+use gaugestand::facade::Micros;
+use std::io;
+use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
+
+/// Time between two reports; the entry lapses after 3 s, so that two may be lost.
+const EVERY: Micros = Micros::millis(700);
+
+/// The reporter.
+#[derive(Debug)]
+pub struct Members {
+    to: Option<(SocketAddr, UdpSocket)>,
+    name: String,
+    last: Option<(bool, Micros)>,
+}
+
+impl Members {
+    /// A reporter to this address, where there is one.
+    pub fn new(to: Option<SocketAddr>, name: &str) -> io::Result<Self> {
+        let open = |to: SocketAddr| {
+            let any: SocketAddr = match to {
+                SocketAddr::V4(_) => (Ipv4Addr::UNSPECIFIED, 0).into(),
+                SocketAddr::V6(_) => (Ipv6Addr::UNSPECIFIED, 0).into(),
+            };
+            let socket = UdpSocket::bind(any)?;
+            socket.set_nonblocking(true)?;
+            Ok::<_, io::Error>((to, socket))
+        };
+        Ok(Members { to: to.map(open).transpose()?, name: name.to_string(), last: None })
+    }
+
+    /// Reports if it is time to, or if the state changed; returns when to call again.
+    pub fn tick(&mut self, now: Micros, up: bool, counters: &mut Counters) -> Option<Micros> {
+        let (to, socket) = self.to.as_ref()?;
+        let due = self.last.map_or(now, |(_, t)| t.plus(EVERY));
+        if now < due && self.last.is_none_or(|(was, _)| was == up) {
+            return Some(due);
+        }
+        let line = format!("HB {} {}", self.name, if up { "UP" } else { "OUT" });
+        // The service may be down; the next report comes soon either way.
+        if socket.send_to(line.as_bytes(), to).is_ok() {
+            counters.reports_sent += 1;
+        }
+        self.last = Some((up, now));
+        Some(now.plus(EVERY))
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,15 @@
+//! The booking node on real sockets: a module for each stage of a request, and the loop that turns them.
+
+pub mod accept;
+pub mod answer;
+pub mod clock;
+pub mod config;
+pub mod counters;
+pub mod fastcgi;
+pub mod kernel;
+pub mod link;
+pub mod members;
+pub mod poll;
+pub mod request;
+pub mod store;
+pub mod turn;
--- /dev/null
+++ b/src/node/request.rs
@@ -0,0 +1,233 @@
+//! A request as its records come in: parameters, then the body.
+
+use super::fastcgi;
+use gaugestand::RequestId;
+use gaugestand::facade::Micros;
+
+/// Longest body.
+pub const MOST_BODY: usize = 2048;
+/// Longest name-value pair that may lie across records; longer ones must come in one piece.
+const MOST_PAIR: usize = 4096;
+
+/// Why a request is failed before anything is decided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A parameter is missing or cannot be read.
+    Malformed(&'static str),
+    /// No such path or class.
+    NotFound,
+    /// The method is not POST.
+    Method,
+    /// The body or a parameter is too long.
+    TooLong,
+}
+
+impl Fault {
+    /// The CGI status that tells of it; none of them says 'refused'.
+    pub fn status(self) -> &'static str {
+        match self {
+            Fault::Malformed(_) => "400 Bad Request",
+            Fault::NotFound => "404 Not Found",
+            Fault::Method => "405 Method Not Allowed",
+            Fault::TooLong => "413 Content Too Large",
+        }
+    }
+}
+
+/// The parameters that matter here.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Params {
+    method_post: bool,
+    path: String,
+    deep: bool,
+    txn: Option<RequestId>,
+    ingress: Option<Micros>,
+    router: u64,
+    hint: Option<Micros>,
+    held_kb: Option<f64>,
+    rank: Option<f64>,
+    repeat_key: Option<String>,
+}
+
+/// What a whole request asks for.
+#[derive(Debug, PartialEq)]
+pub enum Asked {
+    /// Whether this node is well; `true` if it is to show that work gets done.
+    Check(bool),
+    /// A try of a request.
+    Try(Box<TryParams>),
+}
+
+/// The checked parameters of a try.
+#[derive(Debug, PartialEq)]
+pub struct TryParams {
+    /// Its id.
+    pub id: RequestId,
+    /// Index of its class.
+    pub class: usize,
+    /// When it reached the machine, in Unix time.
+    pub ingress: Micros,
+    /// The number of its gateway.
+    pub router: u64,
+    /// Expected work.
+    pub hint: Option<Micros>,
+    /// Memory while held.
+    pub held_kb: f64,
+    /// Its rank.
+    pub rank: f64,
+    /// For keyed classes: the key.
+    pub repeat_key: Option<String>,
+}
+
+/// A request of which not all records have come.
+#[derive(Debug, Default, PartialEq)]
+pub struct Incoming {
+    params: Params,
+    /// The start of a pair whose rest lies in the next record.
+    carry: Vec<u8>,
+    params_ended: bool,
+    body: Vec<u8>,
+    fault: Option<Fault>,
+}
+
+/// The id whose sixteen hexadecimal digits these are; it keeps them as they are spelled.
+pub fn id_of(text: &[u8]) -> Option<RequestId> {
+    let digits: [u8; 16] = text.try_into().ok()?;
+    digits.iter().all(u8::is_ascii_hexdigit).then(|| RequestId(u128::from_be_bytes(digits)))
+}
+
+/// The digits of an id.
+pub fn id_text(id: RequestId) -> String {
+    String::from_utf8_lossy(&id.0.to_be_bytes()).into_owned()
+}
+
+fn number(value: &[u8], least: f64, below: f64) -> Option<f64> {
+    let x: f64 = std::str::from_utf8(value).ok()?.parse().ok()?;
+    (least..below).contains(&x).then_some(x)
+}
+
+fn whole(value: &[u8]) -> Option<u64> {
+    std::str::from_utf8(value).ok()?.parse().ok()
+}
+
+impl Params {
+    fn take(&mut self, name: &[u8], value: &[u8]) -> Result<(), Fault> {
+        let bad = |what| Fault::Malformed(what);
+        match name {
+            b"REQUEST_METHOD" => self.method_post = value == b"POST",
+            b"SCRIPT_NAME" => self.path = String::from_utf8(value.to_vec()).or(Err(Fault::NotFound))?,
+            b"QUERY_STRING" => self.deep = value.split(|b| *b == b'&').any(|q| q == b"engine=1"),
+            b"HTTP_X_TXN" => self.txn = Some(id_of(value).ok_or(bad("X-Txn"))?),
+            b"HTTP_X_INGRESS_TIME" => {
+                self.ingress = Some(Micros::millis(whole(value).ok_or(bad("X-Ingress-Time"))?));
+            }
+            b"HTTP_X_ROUTER" => self.router = whole(value).ok_or(bad("X-Router"))?,
+            b"HTTP_X_CPU_HINT" => {
+                let ms = number(value, 0.0, 1e9).ok_or(bad("X-Cpu-Hint"))?;
+                self.hint = Some(Micros((ms * 1e3) as u64)).filter(|h| h.0 > 0);
+            }
+            b"HTTP_X_WORKING_SET_KB" => {
+                self.held_kb = Some(number(value, 0.0, 2000.0).ok_or(bad("X-Working-Set-Kb"))?);
+            }
+            b"HTTP_X_SHED_ORDER" => {
+                self.rank = Some(number(value, 0.0, 1.0).ok_or(bad("X-Shed-Order"))?);
+            }
+            b"HTTP_X_TXN_KEY" => {
+                let key = std::str::from_utf8(value).or(Err(bad("X-Txn-Key")))?;
+                let sound = !key.is_empty() && key.len() <= 64 && key.bytes().all(|b| b.is_ascii_graphic());
+                self.repeat_key = Some(key.to_string()).filter(|_| sound);
+                return self.repeat_key.as_ref().map(|_| ()).ok_or(bad("X-Txn-Key"));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn asked(self, classes: &[String], keyed: &[bool]) -> Result<Asked, Fault> {
+        if self.path == "/status/live" {
+            return Ok(Asked::Check(self.deep));
+        }
+        let class = self.path.strip_prefix("/svc/").and_then(|c| classes.iter().position(|name| name == c));
+        let class = class.ok_or(Fault::NotFound)?;
+        if !self.method_post {
+            return Err(Fault::Method);
+        }
+        let missing = Fault::Malformed;
+        let needs_key = keyed.get(class).copied().unwrap_or(false);
+        if needs_key && self.repeat_key.is_none() {
+            return Err(missing("X-Txn-Key"));
+        }
+        Ok(Asked::Try(Box::new(TryParams {
+            id: self.txn.ok_or(missing("X-Txn"))?,
+            class,
+            ingress: self.ingress.ok_or(missing("X-Ingress-Time"))?,
+            router: self.router,
+            hint: self.hint,
+            held_kb: self.held_kb.ok_or(missing("X-Working-Set-Kb"))?,
+            rank: self.rank.unwrap_or(0.0),
+            repeat_key: self.repeat_key.filter(|_| needs_key),
+        })))
+    }
+}
+
+impl Incoming {
+    /// The content of a PARAMS record; an empty one ends the parameters.
+    pub fn params(&mut self, content: &[u8]) {
+        if content.is_empty() {
+            if !self.carry.is_empty() {
+                self.fail(Fault::Malformed("a parameter cut short"));
+            }
+            self.carry = Vec::new();
+            self.params_ended = true;
+        } else if self.params_ended {
+            self.fail(Fault::Malformed("parameters after their end"));
+        } else if self.carry.is_empty() {
+            self.carry = self.pairs(content).to_vec();
+        } else {
+            let mut joined = std::mem::take(&mut self.carry);
+            joined.extend(content);
+            self.carry = self.pairs(&joined).to_vec();
+        }
+        if self.carry.len() > MOST_PAIR {
+            self.fail(Fault::TooLong);
+        }
+        if self.fault.is_some() {
+            self.carry = Vec::new();
+        }
+    }
+
+    /// Takes the whole pairs of `buf`; returns what is left.
+    fn pairs<'a>(&mut self, buf: &'a [u8]) -> &'a [u8] {
+        let mut rest = buf;
+        while let Some((name, value, after)) = fastcgi::pair(rest) {
+            rest = after;
+            if let Err(fault) = self.params.take(name, value) {
+                self.fail(fault);
+            }
+        }
+        rest
+    }
+
+    /// The content of a STDIN record; returns true if it ends the request.
+    pub fn stdin(&mut self, content: &[u8]) -> bool {
+        if self.body.len() + content.len() > MOST_BODY {
+            self.fail(Fault::TooLong);
+        } else {
+            self.body.extend(content);
+        }
+        content.is_empty()
+    }
+
+    fn fail(&mut self, fault: Fault) {
+        self.fault.get_or_insert(fault);
+    }
+
+    /// What the whole request asks for, and its body.
+    pub fn finish(self, classes: &[String], keyed: &[bool]) -> Result<(Asked, Vec<u8>), Fault> {
+        match self.fault {
+            Some(fault) => Err(fault),
+            None if !self.params_ended => Err(Fault::Malformed("parameters without an end")),
+            None => Ok((self.params.asked(classes, keyed)?, self.body)),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/turn.rs
@@ -0,0 +1,588 @@
+//! The loop: one turn takes in what the poller has, asks the facade, carries out its verdicts and writes.
+
+use super::accept::{ConnId, MOST_OPEN, Open, Table};
+use super::answer::Response;
+use super::clock::Clock;
+use super::config::Config;
+use super::counters::Counters;
+use super::fastcgi::{self, Record, kind};
+use super::kernel::{Command, Fate, Kernel, Notice};
+use super::link::Change;
+use super::members::Members;
+use super::poll::Watched;
+use super::request::{Asked, Fault, Incoming, TryParams};
+use super::store::{Store, Word};
+use gaugestand::facade::{Arrival, CallEnd, Facade, Micros, Report, RunEnd, Verdict};
+use gaugestand::{RequestId, SettingsError};
+use polling::{Events, Poller};
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use std::collections::BTreeMap;
+use std::io::{self, Read};
+use std::os::unix::net::UnixStream;
+use std::rc::Rc;
+use std::time::Duration;
+use std::{fmt, mem};
+
+/// Poller keys; connections follow.
+const LISTENER: usize = 0;
+const KERNEL: usize = 1;
+const STORE: usize = 2;
+const LEAVE: usize = 3;
+const PRINT: usize = 4;
+const FIRST_CONN: usize = 8;
+
+/// A deep check that the kernel has not answered by then has failed.
+const CHECK: Micros = Micros::millis(3_000);
+/// Longest wait for the poller, so that a clock that was set wrong is noticed.
+const LONGEST_WAIT: Micros = Micros::millis(1_000);
+/// Before the end of a drain: when to stop listening, and when to be gone.
+const STOP_LISTENING: Micros = Micros::millis(250);
+const GONE: Micros = Micros::millis(100);
+
+/// Why the node could not start or go on.
+#[derive(Debug)]
+pub enum NodeError {
+    /// The system refused something.
+    Io(&'static str, io::Error),
+    /// The settings make no sense.
+    Settings(SettingsError),
+}
+
+impl fmt::Display for NodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NodeError::Io(what, e) => write!(f, "{what}: {e}"),
+            NodeError::Settings(e) => e.fmt(f),
+        }
+    }
+}
+
+fn io_error(what: &'static str) -> impl FnOnce(io::Error) -> NodeError {
+    move |e| NodeError::Io(what, e)
+}
+
+/// Where a try came from and what its work needs.
+#[derive(Debug)]
+struct Place {
+    conn: ConnId,
+    fcgi: u16,
+    class: usize,
+    body: Vec<u8>,
+    /// The body of the call that its run waits for.
+    call: Vec<u8>,
+}
+
+/// A deep check that waits for the kernel.
+#[derive(Debug)]
+struct Check {
+    conn: ConnId,
+    fcgi: u16,
+    since: Micros,
+}
+
+/// The node.
+#[derive(Debug)]
+pub struct Node {
+    config: Config,
+    clock: Clock,
+    poller: Rc<Poller>,
+    table: Table,
+    kernel: Kernel,
+    store: Store,
+    members: Members,
+    facade: Facade,
+    counters: Counters,
+    tries: BTreeMap<RequestId, Place>,
+    checks: BTreeMap<u64, Check>,
+    leave: Watched<UnixStream>,
+    print: Watched<UnixStream>,
+    /// After the notice to leave: when the process is stopped.
+    stop: Option<Micros>,
+}
+
+fn on_signal(poller: &Rc<Poller>, key: usize, signals: &[i32]) -> io::Result<Watched<UnixStream>> {
+    let (ours, theirs) = UnixStream::pair()?;
+    ours.set_nonblocking(true)?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, theirs.try_clone()?)?;
+    }
+    Watched::new(poller, ours, key, true, false)
+}
+
+impl Node {
+    /// Listens, and prepares everything else.
+    pub fn start(config: Config) -> Result<Self, NodeError> {
+        let poller = Rc::new(Poller::new().map_err(io_error("poller"))?);
+        let table = Table::listen(&poller, config.listen, LISTENER, FIRST_CONN, config.sockets)
+            .map_err(io_error("listening"))?;
+        let facade = Facade::new(config.settings.clone(), config.seed).map_err(NodeError::Settings)?;
+        Ok(Node {
+            clock: Clock::new(),
+            kernel: Kernel::new(config.kernel, KERNEL, &poller, &config.gauges),
+            store: Store::new(config.store, STORE, &poller),
+            members: Members::new(config.members, &config.name).map_err(io_error("members"))?,
+            counters: Counters::default(),
+            tries: BTreeMap::new(),
+            checks: BTreeMap::new(),
+            leave: on_signal(&poller, LEAVE, &[SIGTERM, SIGINT]).map_err(io_error("signals"))?,
+            print: on_signal(&poller, PRINT, &[SIGUSR1]).map_err(io_error("signals"))?,
+            stop: None,
+            config,
+            poller,
+            table,
+            facade,
+        })
+    }
+
+    /// The address it listens at.
+    pub fn address(&self) -> Option<std::net::SocketAddr> {
+        self.table.address()
+    }
+
+    /// Turns until the end of a drain.
+    pub fn run(&mut self) -> Result<(), NodeError> {
+        let mut events = Events::new();
+        let mut wake = self.clock.now();
+        loop {
+            let wait = wake.since(self.clock.now()).0.min(LONGEST_WAIT.0);
+            events.clear();
+            match self.poller.wait(&mut events, Some(Duration::from_micros(wait))) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                other => drop(other.map_err(io_error("poller"))?),
+            }
+            self.clock.read();
+            for event in events.iter() {
+                self.take(event);
+            }
+            wake = self.pass();
+            if self.is_over() {
+                eprint!("{}", self.counters);
+                return Ok(());
+            }
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        let Some(stop) = self.stop else { return false };
+        let now = self.clock.now();
+        let done = self.facade.owed() == 0 && !self.table.is_writing();
+        now.plus(GONE) >= stop && done || now >= stop
+    }
+
+    /// What is due by now; then everything is written. Returns when to do so again.
+    fn pass(&mut self) -> Micros {
+        let now = self.clock.now();
+        if let Some(change) = self.kernel.tick(now) {
+            self.kernel_changed(change);
+        }
+        let (change, late) = self.store.tick(now, &mut self.counters);
+        for (id, lag) in late {
+            self.report(Report::Called(id, CallEnd::Late, lag));
+        }
+        if let Some(change) = change {
+            self.store_changed(change);
+        }
+        self.end_checks();
+        let gone = self.table.tick(now, &mut self.counters);
+        self.connections_gone(gone);
+        let mut verdicts = Vec::new();
+        let mut wake = vec![self.facade.tick(now, &mut verdicts)];
+        self.carry_out(verdicts);
+        if self.stop.is_some_and(|stop| now.plus(STOP_LISTENING) >= stop) {
+            self.table.stop_listening();
+        }
+        let up = self.facade.healthy();
+        if self.facade.is_up() {
+            wake.push(self.members.tick(now, up, &mut self.counters));
+        }
+        self.flush();
+        let leaving = self
+            .stop
+            .map(|stop| stop.since(if now.plus(STOP_LISTENING) < stop { STOP_LISTENING } else { GONE }));
+        wake.extend([self.kernel.wake(), self.store.wake(), leaving]);
+        wake.extend(self.checks.values().map(|c| Some(c.since.plus(CHECK))));
+        // Nothing is looked at again at once: what is overdue then waits for something else to happen.
+        wake.into_iter().flatten().min().unwrap_or(now.plus(LONGEST_WAIT)).max(now.plus(Micros(200)))
+    }
+
+    fn flush(&mut self) {
+        let now = self.clock.now();
+        // What breaks makes the facade say more, which goes out with this turn as well; each link and
+        // connection breaks only once.
+        loop {
+            let kernel = self.kernel.flush(now);
+            let store = self.store.flush(now);
+            let gone = self.table.flush(now, &mut self.counters);
+            if kernel.is_none() && store.is_none() && gone.is_empty() {
+                break;
+            }
+            kernel.into_iter().for_each(|change| self.kernel_changed(change));
+            store.into_iter().for_each(|change| self.store_changed(change));
+            self.connections_gone(gone);
+        }
+    }
+
+    fn take(&mut self, event: polling::Event) {
+        let now = self.clock.now();
+        match event.key {
+            LISTENER => self.table.accept(now, &mut self.counters),
+            KERNEL => self.take_kernel(event.readable, event.writable),
+            STORE => self.take_store(event.readable, event.writable),
+            LEAVE => {
+                self.drain_signal(LEAVE);
+                self.begin_drain();
+            }
+            PRINT => {
+                self.drain_signal(PRINT);
+                eprint!("{}", self.counters);
+            }
+            key => {
+                if let Some(conn) = self.table.at_key(key) {
+                    self.take_conn(conn, event.readable);
+                }
+            }
+        }
+    }
+
+    fn drain_signal(&mut self, key: usize) {
+        let pipe = if key == LEAVE { &mut self.leave } else { &mut self.print };
+        // The bytes say nothing; only that they came matters.
+        while matches!(pipe.read(&mut [0; 64]), Ok(n) if n > 0) {}
+    }
+
+    fn begin_drain(&mut self) {
+        if self.stop.is_none() {
+            let stop = self.clock.now().plus(self.config.stop);
+            self.stop = Some(stop);
+            // All is answered some time before the end, so that it is also written by then.
+            self.report(Report::Drain(Micros(stop.0.saturating_sub(STOP_LISTENING.0))));
+        }
+    }
+
+    // ---- Connections of gateways ---------------------------------------------------------------------
+
+    fn take_conn(&mut self, id: ConnId, readable: bool) {
+        let now = self.clock.now();
+        let Some(conn) = self.table.get(id) else { return };
+        if conn.is_dead() || readable && conn.read(now).is_err() {
+            let gone = self.table.close(id);
+            return self.connections_gone(gone);
+        }
+        let input = conn.take_input();
+        let mut at = 0;
+        let framed = loop {
+            match fastcgi::record(&input[at..]) {
+                Ok(Some(record)) => {
+                    at += record.len;
+                    if !self.take_record(id, record) {
+                        break false;
+                    }
+                }
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        self.table.touch(id);
+        let Some(conn) = self.table.get(id) else { return };
+        if framed {
+            return conn.put_back(&input[at..]);
+        }
+        // Nothing that follows can be trusted; what came before is still answered.
+        self.counters.framing_lost += 1;
+        if conn.stop_reading().is_err() {
+            let gone = self.table.close(id);
+            self.connections_gone(gone);
+        }
+    }
+
+    /// Takes in one record; false if what follows cannot be told apart from it.
+    fn take_record(&mut self, conn: ConnId, record: Record<'_>) -> bool {
+        let (id, content) = (record.id, record.content);
+        let Some(c) = self.table.get(conn) else { return false };
+        match (record.kind, c.open.get_mut(&id)) {
+            (kind::BEGIN_REQUEST, Some(_)) => return false,
+            (kind::BEGIN_REQUEST, None) => c.begin(id, content),
+            (kind::PARAMS, Some(Open::Incoming(incoming, _))) => incoming.params(content),
+            (kind::STDIN, Some(Open::Incoming(..))) => self.take_stdin(conn, id, content),
+            (kind::ABORT_REQUEST, Some(_)) => self.abort(conn, id),
+            (kind::GET_VALUES, _) if id == 0 => {
+                let known = [("FCGI_MAX_REQS", MOST_OPEN.to_string()), ("FCGI_MPXS_CONNS", "1".to_string())];
+                c.output.push(fastcgi::values_result(content, &known));
+            }
+            (other, _) if id == 0 => c.output.push(fastcgi::unknown_type(other)),
+            // Of a request that is over, or one that was never begun: the protocol has them ignored.
+            _ => {}
+        }
+        true
+    }
+
+    fn take_stdin(&mut self, conn: ConnId, fcgi: u16, content: &[u8]) {
+        let Some(c) = self.table.get(conn) else { return };
+        let Some(Open::Incoming(incoming, keeps)) = c.open.get_mut(&fcgi) else { return };
+        if incoming.stdin(content) {
+            let (incoming, keeps) = (mem::take(incoming), *keeps);
+            c.open.remove(&fcgi);
+            self.take_request(conn, fcgi, keeps, *incoming);
+        }
+    }
+
+    fn take_request(&mut self, conn: ConnId, fcgi: u16, keeps: bool, incoming: Incoming) {
+        match incoming.finish(&self.config.classes, &self.config.keyed) {
+            Ok((Asked::Check(deep), _)) => self.check(conn, fcgi, keeps, deep),
+            Ok((Asked::Try(t), body)) => self.pick(conn, fcgi, keeps, *t, body),
+            Err(fault) => self.bad(conn, fcgi, keeps, fault),
+        }
+    }
+
+    fn pick(&mut self, conn: ConnId, fcgi: u16, keeps: bool, t: TryParams, body: Vec<u8>) {
+        if self.tries.contains_key(&t.id) {
+            // The id of another try: whatever became of that one, this one cannot be told apart from it.
+            return self.bad(conn, fcgi, keeps, Fault::Malformed("X-Txn"));
+        }
+        self.counters.requests_read += 1;
+        let arrival = Arrival {
+            id: t.id,
+            class: t.class,
+            repeat_key: t.repeat_key,
+            age: self.clock.age(t.ingress),
+            hint: t.hint,
+            held_kb: t.held_kb,
+            rank: t.rank,
+            caller: t.router,
+        };
+        if let Some(c) = self.table.get(conn) {
+            c.open.insert(fcgi, Open::Owed(t.id, keeps));
+        }
+        self.tries.insert(t.id, Place { conn, fcgi, class: t.class, body, call: Vec::new() });
+        let mut verdicts = Vec::new();
+        // It is not known: every try that the facade knows has its place in the table above.
+        let _ = self.facade.pick(self.clock.now(), arrival, &mut verdicts);
+        self.carry_out(verdicts);
+    }
+
+    fn bad(&mut self, conn: ConnId, fcgi: u16, keeps: bool, fault: Fault) {
+        self.counters.requests_bad += 1;
+        let capacity = self.facade.capacity();
+        self.respond(conn, fcgi, keeps, &Response::plain(fault.status(), capacity));
+    }
+
+    /// The gateway waits no longer. The answer ends the request, so that its number can be used again; if one
+    /// was given before, there is nothing open and nothing more is sent.
+    fn abort(&mut self, conn: ConnId, fcgi: u16) {
+        let Some(open) = self.table.get(conn).and_then(|c| c.open.remove(&fcgi)) else { return };
+        self.counters.aborts_read += 1;
+        self.respond(conn, fcgi, open.keeps(), &Response::plain("500 Aborted", None));
+        if let Open::Owed(id, _) = open {
+            self.report(Report::Aborted(id));
+        }
+    }
+
+    fn connections_gone(&mut self, ids: Vec<RequestId>) {
+        for id in ids {
+            self.report(Report::Aborted(id));
+        }
+    }
+
+    /// Queues the one answer of an open request that is already off its connection's list.
+    fn respond(&mut self, conn: ConnId, fcgi: u16, keeps: bool, response: &Response<'_>) {
+        let Some(c) = self.table.get(conn) else {
+            self.counters.answers_unsent += 1;
+            return;
+        };
+        c.output.respond(fcgi, response);
+        c.last |= !keeps;
+        self.table.touch(conn);
+    }
+
+    /// Answers a try, if its connection still has it open; returns whether it was answered.
+    fn answer(
+        &mut self,
+        id: RequestId,
+        status: &str,
+        throttle: Micros,
+        give_up: bool,
+        body: Rc<[u8]>,
+    ) -> bool {
+        let Some(place) = self.tries.get(&id) else { return false };
+        let (conn, fcgi) = (place.conn, place.fcgi);
+        let open = self.table.get(conn).and_then(|c| c.open.remove(&fcgi));
+        let Some(open) = open else {
+            self.counters.answers_unsent += 1;
+            return false;
+        };
+        let capacity = self.facade.capacity();
+        self.respond(conn, fcgi, open.keeps(), &Response { status, capacity, throttle, give_up, body });
+        true
+    }
+
+    // ---- Health checks -------------------------------------------------------------------------------
+
+    fn check(&mut self, conn: ConnId, fcgi: u16, keeps: bool, deep: bool) {
+        self.counters.checks_read += 1;
+        let good = self.facade.healthy();
+        if !(good && deep) {
+            return self.answer_check(conn, fcgi, keeps, good);
+        }
+        if !self.kernel.is_linked() {
+            return self.answer_check(conn, fcgi, keeps, false);
+        }
+        if let Some(c) = self.table.get(conn) {
+            c.open.insert(fcgi, Open::Check(keeps));
+        }
+        self.counters.posts_sent += 1;
+        let ticket = self.kernel.post();
+        self.checks.insert(ticket, Check { conn, fcgi, since: self.clock.now() });
+    }
+
+    fn end_check(&mut self, ticket: u64, good: bool) {
+        let Some(check) = self.checks.remove(&ticket) else { return };
+        let open = self.table.get(check.conn).and_then(|c| c.open.remove(&check.fcgi));
+        if let Some(open) = open {
+            self.answer_check(check.conn, check.fcgi, open.keeps(), good);
+        }
+    }
+
+    /// Ends checks that the kernel does not answer; all of them where its link is down.
+    fn end_checks(&mut self) {
+        let (now, linked) = (self.clock.now(), self.kernel.is_linked());
+        let over = self.checks.iter().filter(|(_, c)| !linked || now.since(c.since) >= CHECK);
+        for ticket in over.map(|(ticket, _)| *ticket).collect::<Vec<_>>() {
+            self.end_check(ticket, false);
+        }
+    }
+
+    fn answer_check(&mut self, conn: ConnId, fcgi: u16, keeps: bool, good: bool) {
+        let count = if good { &mut self.counters.checks_good } else { &mut self.counters.checks_bad };
+        *count += 1;
+        let status = if good { "200 OK" } else { "503 Service Unavailable" };
+        let capacity = self.facade.capacity();
+        self.respond(conn, fcgi, keeps, &Response::plain(status, capacity));
+    }
+
+    // ---- The kernel and the store --------------------------------------------------------------------
+
+    fn take_kernel(&mut self, readable: bool, writable: bool) {
+        let now = self.clock.now();
+        if let Some(change) = self.kernel.ready(now, readable, writable, &mut self.counters) {
+            self.kernel_changed(change);
+        }
+        while let Some(notice) = self.kernel.next(&mut self.counters) {
+            match notice {
+                Notice::Booted { cold, age } => self.report(Report::Booted { cold, age }),
+                Notice::Reap(id, fate) => {
+                    let end = match fate {
+                        Fate::Good(result) => RunEnd::Good(result),
+                        Fate::Bad => RunEnd::Bad,
+                        Fate::Cut => RunEnd::Cut,
+                        Fate::Gone => RunEnd::NeverRan,
+                    };
+                    self.report(Report::Ended(id, end));
+                }
+                Notice::IoReq(id, body) => {
+                    if let Some(place) = self.tries.get_mut(&id) {
+                        place.call = body;
+                        self.report(Report::WantsCall(id));
+                    }
+                }
+                Notice::Info(_, figures) => {
+                    let gauges = self.kernel.gauges(&figures);
+                    self.report(Report::Gauged(gauges));
+                }
+                Notice::Posted(ticket, good) => self.end_check(ticket, good),
+                Notice::Invalid(Command::Sched, Some(id)) => self.report(Report::Ended(id, RunEnd::NeverRan)),
+                Notice::Invalid(..) | Notice::Dmesg => {}
+            }
+        }
+    }
+
+    fn kernel_changed(&mut self, change: Change) {
+        if change == Change::Broken {
+            self.report(Report::Link(false));
+        }
+    }
+
+    fn take_store(&mut self, readable: bool, writable: bool) {
+        let now = self.clock.now();
+        if let Some(change) = self.store.ready(now, readable, writable, &mut self.counters) {
+            self.store_changed(change);
+        }
+        while let Some((id, word, lag)) = self.store.next(now, &mut self.counters) {
+            let end = match word {
+                Word::Ok(reply) => {
+                    self.kernel.io_done(id, &reply);
+                    CallEnd::Good
+                }
+                Word::Busy => CallEnd::Busy,
+                Word::Err => CallEnd::Failed,
+                Word::Late => CallEnd::Late,
+                Word::Void => continue,
+            };
+            self.report(Report::Called(id, end, lag));
+        }
+    }
+
+    fn store_changed(&mut self, change: Change) {
+        for (id, end, lag) in self.store.changed(self.clock.now(), change) {
+            self.report(Report::Called(id, end, lag));
+        }
+    }
+
+    // ---- Verdicts ------------------------------------------------------------------------------------
+
+    fn report(&mut self, report: Report) {
+        let mut verdicts = Vec::new();
+        self.facade.report(self.clock.now(), report, &mut verdicts);
+        self.carry_out(verdicts);
+    }
+
+    fn carry_out(&mut self, verdicts: Vec<Verdict>) {
+        let nothing: Rc<[u8]> = Rc::from([]);
+        for verdict in verdicts {
+            match verdict {
+                Verdict::Run(id) => {
+                    if let Some(place) = self.tries.get_mut(&id) {
+                        let body = mem::take(&mut place.body);
+                        let class = self.config.classes.get(place.class).map_or("", String::as_str);
+                        self.kernel.sched(id, class, &body);
+                        self.counters.runs_sent += 1;
+                    }
+                }
+                Verdict::Stop(id) => {
+                    self.kernel.preempt(id);
+                    self.counters.stops_sent += 1;
+                }
+                Verdict::Call(id, wait) => {
+                    if let Some(place) = self.tries.get(&id) {
+                        let body = place.call.clone();
+                        self.store.call(self.clock.now(), id, wait, body, &mut self.counters);
+                    }
+                }
+                Verdict::DropCall(id) => self.store.drop_call(id, &mut self.counters),
+                Verdict::Refuse { id, stay_away, give_up } => {
+                    let status = "503 Service Unavailable";
+                    let done = self.answer(id, status, stay_away, give_up, nothing.clone());
+                    self.counters.answers_refused += u64::from(done);
+                }
+                Verdict::Fail { id, stay_away, give_up } => {
+                    let status = "500 Internal Server Error";
+                    let done = self.answer(id, status, stay_away, give_up, nothing.clone());
+                    self.counters.answers_failed += u64::from(done);
+                }
+                Verdict::Serve(id, result) => {
+                    let done = self.answer(id, "200 OK", Micros(0), false, result);
+                    self.counters.answers_served += u64::from(done);
+                }
+                Verdict::Replay(id, result) => {
+                    let done = self.answer(id, "200 OK", Micros(0), false, result);
+                    self.counters.answers_replayed += u64::from(done);
+                }
+                Verdict::Forget(id) => drop(self.tries.remove(&id)),
+                Verdict::Gauge => {
+                    self.kernel.ask();
+                    self.counters.gauges_sent += 1;
+                }
+                Verdict::IdleLimit(idle) => self.table.set_idle(idle),
+            }
+        }
+    }
+}
