--- a/src/node/accept.rs
+++ b/src/node/accept.rs
@@ -209,7 +209,8 @@
     }
 
     fn close_longest_idle(&mut self, now: Micros, counters: &mut Counters) -> bool {
-        let idle = self.idle_conns().min_by_key(|(_, used)| *used).map(|(id, _)| id);
+        // Of those accepted at the same time the oldest goes: never the one that has just come.
+        let idle = self.idle_conns().min_by_key(|(id, used)| (*used, id.serial)).map(|(id, _)| id);
         idle.is_some_and(|id| self.close_idle_one(now, id, counters))
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,8 @@
 pub mod clock;
 pub mod config;
 pub mod counters;
+#[cfg(test)]
+mod cuts;
 pub mod fastcgi;
 pub mod kernel;
 pub mod link;
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,428 @@
+//! Starts the program and speaks to it over loopback.
+
+mod peers;
+
+use peers::*;
+use serde_json::json;
+
+const A: &str = "9b1f03aa5c7e2d41";
+const B: &str = "9b1f03aa5c7e2d42";
+const C: &str = "9b1f03aa5c7e2d43";
+
+fn served(answer: &Answer) -> (u16, &str, &[u8]) {
+    (answer.id, &answer.status[..3], &answer.body)
+}
+
+#[test]
+fn a_request_is_run_and_served_with_its_result_unchanged() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    // A period of the law passes before there is a free value.
+    kernel.expect_nothing(80);
+    let (body, result) = ([0u8, 255, b'\n', b'"', 128], [7u8, 0, b'\r', b'\n', 254]);
+    gateway.request(1, "quote", A, &body);
+    let command = kernel.command();
+    assert_eq!((&command["event"], &command["entry"]), (&json!("SCHED"), &json!("quote")));
+    assert_eq!(command["arg"], "AP8KIoA=");
+    kernel.reap(A, "good", &result);
+    let answer = gateway.answer();
+    assert_eq!((served(&answer), answer.protocol_status), ((1, "200", &result[..]), 0));
+    let capacity: f64 = answer.field("X-Capacity").expect("a free value").parse().expect("a number");
+    assert!(capacity >= 0.0);
+    // The same connection and number serve again, and a run that fails is a failure.
+    gateway.request(1, "quote", B, &[]);
+    assert!(kernel.expect("SCHED", B).is_empty());
+    kernel.reap(B, "bad", &[]);
+    assert_eq!(served(&gateway.answer()), (1, "500", &[][..]));
+}
+
+#[test]
+fn a_request_cut_anywhere_and_padded_is_read_alike() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    for byte in try_records(3, "quote", A, &[], b"body") {
+        gateway.send(&[byte]);
+    }
+    assert_eq!(kernel.expect("SCHED", A), b"body");
+    kernel.reap(A, "good", b"r");
+    assert_eq!(served(&gateway.answer()), (3, "200", &b"r"[..]));
+}
+
+#[test]
+fn calls_and_their_replies_pass_unchanged() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "booking", A, b"b");
+    kernel.expect("SCHED", A);
+    let (call, reply) = (b"\r\n\0call", b"\xff\r\n9b1f03aa5c7e2d41 BUSY\r\n");
+    kernel.io_req(A, call);
+    let mut store = scene.accept_store();
+    assert_eq!(store.expect_call(A), call);
+    let mut line = format!("{A} OK {}\r\n", reply.len()).into_bytes();
+    line.extend(reply);
+    line.extend(b"\r\n");
+    store.reply(&line);
+    assert_eq!(kernel.expect("IODONE", A), reply);
+    kernel.reap(A, "good", b"booked");
+    assert_eq!(served(&gateway.answer()), (1, "200", &b"booked"[..]));
+}
+
+#[test]
+fn a_keyed_request_runs_once_and_its_repeats_get_its_result() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "booking", A, b"b");
+    kernel.expect("SCHED", A);
+    gateway.request(2, "booking", B, b"b");
+    kernel.expect_nothing(5);
+    kernel.reap(A, "good", b"booked");
+    let mut both = [gateway.answer(), gateway.answer()];
+    both.sort_by_key(|a| a.id);
+    assert_eq!(both.each_ref().map(served), [(1, "200", &b"booked"[..]), (2, "200", &b"booked"[..])]);
+    gateway.request(3, "booking", C, b"b");
+    assert_eq!(served(&gateway.answer()), (3, "200", &b"booked"[..]));
+    kernel.expect_nothing(5);
+}
+
+#[test]
+fn after_a_keyed_run_that_failed_its_repeats_fail_and_are_not_refused() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    for (fate, key, first, second) in [("bad", "k1", A, B), ("cut", "k2", C, "9b1f03aa5c7e2d44")] {
+        gateway.send(&try_records(1, "booking", first, &[("HTTP_X_TXN_KEY", key)], b"b"));
+        kernel.expect("SCHED", first);
+        kernel.reap(first, fate, &[]);
+        assert_eq!(served(&gateway.answer()).1, "500");
+        gateway.send(&try_records(2, "booking", second, &[("HTTP_X_TXN_KEY", key)], b"b"));
+        assert_eq!(served(&gateway.answer()).1, "500");
+    }
+    kernel.expect_nothing(5);
+}
+
+#[test]
+fn a_keyed_try_of_which_nothing_was_started_leaves_the_next_one_a_first() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "booking", A, b"b");
+    kernel.expect("SCHED", A);
+    kernel.reap(A, "gone", &[]);
+    gateway.answer();
+    gateway.request(2, "booking", B, b"b");
+    kernel.expect("SCHED", B);
+}
+
+#[test]
+fn a_broken_store_link_proves_nothing_about_a_call() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "booking", A, b"b");
+    kernel.expect("SCHED", A);
+    kernel.io_req(A, b"c");
+    let mut store = scene.accept_store();
+    store.expect_call(A);
+    drop(store);
+    // It ran: a failure, no refusal, and the call is not made again for it.
+    assert_eq!(served(&gateway.answer()).1, "500");
+    // One that may be repeated makes its call again on a new link, and so does one that was turned away.
+    gateway.request(2, "quote", B, b"q");
+    kernel.expect("SCHED", B);
+    kernel.io_req(B, b"c");
+    let mut store = scene.accept_store();
+    store.expect_call(B);
+    drop(store);
+    let mut store = scene.accept_store();
+    store.expect_call(B);
+    store.reply(format!("{B} BUSY\r\n").as_bytes());
+    store.expect_call(B);
+}
+
+#[test]
+fn a_refused_store_link_proves_that_a_call_never_ran() {
+    let scene = Scene::new(|_| ());
+    let mut kernel = scene.link();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "booking", A, b"b");
+    kernel.expect("SCHED", A);
+    kernel.io_req(A, b"c");
+    kernel.expect_nothing(10);
+    scene.store.listen(16).expect("listening");
+    let mut store = scene.accept_store();
+    store.expect_call(A);
+    store.reply(format!("{A} OK 1\r\nr\r\n").as_bytes());
+    assert_eq!(kernel.expect("IODONE", A), b"r");
+}
+
+#[test]
+fn notices_that_come_again_on_a_new_link_apply_once() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "quote", A, b"q");
+    kernel.expect("SCHED", A);
+    kernel.expect_nothing(5);
+    kernel.say(json!({"event": "DMESG", "fate": "hello"}), true);
+    kernel.reap(A, "good", b"r");
+    assert_eq!(served(&gateway.answer()), (1, "200", &b"r"[..]));
+    drop(kernel);
+    let mut kernel = scene.accept_kernel();
+    assert_eq!(kernel.command(), json!({"event": "OPEN", "cursor": 2}));
+    // A try that comes while the kernel is not back is run when it is.
+    gateway.request(2, "quote", B, b"q");
+    kernel.boot();
+    for _ in 0..2 {
+        kernel.reap(A, "good", b"other");
+    }
+    kernel.expect("SCHED", B);
+    kernel.cursor = 2;
+    kernel.reap(B, "good", b"s");
+    assert_eq!(served(&gateway.answer()), (2, "200", &b"s"[..]));
+}
+
+#[test]
+fn commands_that_a_lost_link_may_have_swallowed_are_said_again_unless_shown_to_be_done() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    // The first is known to be read, the second and the third are not.
+    gateway.request(1, "quote", A, b"q");
+    kernel.expect("SCHED", A);
+    kernel.expect_nothing(5);
+    gateway.request(2, "quote", B, b"q");
+    gateway.request(3, "booking", C, b"b");
+    let mut read = vec![kernel.any_command(), kernel.any_command()];
+    while read.iter().filter(|c| c["event"] == "SCHED").count() < 2 {
+        read.push(kernel.any_command());
+    }
+    drop(kernel);
+    let mut kernel = scene.accept_kernel();
+    assert_eq!(kernel.command()["event"], "OPEN");
+    kernel.boot();
+    // The third has ended meanwhile: saying it again would run it twice.
+    kernel.reap(C, "good", b"booked");
+    assert_eq!(served(&gateway.answer()), (3, "200", &b"booked"[..]));
+    assert_eq!(kernel.expect("SCHED", B), b"q");
+    kernel.expect_nothing(5);
+}
+
+#[test]
+fn an_aborted_request_is_stopped_and_gets_one_answer_at_most() {
+    let (mut scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "quote", A, b"q");
+    kernel.expect("SCHED", A);
+    gateway.send(&record(2, 1, &[]));
+    kernel.expect("PREEMPT", A);
+    kernel.reap(A, "cut", &[]);
+    assert_eq!(gateway.answer().id, 1);
+    // Begun, read whole and aborted in one piece, and an abort that crosses the answer.
+    let mut bytes = try_records(2, "quote", B, &[], b"q");
+    bytes.extend(record(2, 2, &[]));
+    gateway.send(&bytes);
+    kernel.expect("SCHED", B);
+    kernel.expect("PREEMPT", B);
+    kernel.reap(B, "good", b"too late");
+    assert_eq!(served(&gateway.answer()), (2, "500", &[][..]));
+    gateway.send(&record(2, 2, &[]));
+    gateway.request(3, "quote", C, b"q");
+    kernel.expect("SCHED", C);
+    kernel.reap(C, "good", b"r");
+    assert_eq!(served(&gateway.answer()), (3, "200", &b"r"[..]));
+    assert_eq!(scene.counter("aborts_read"), 2);
+}
+
+#[test]
+fn a_request_is_answered_by_its_due_time_whatever_the_kernel_does() {
+    let scene = Scene::new(|c| c["settings"]["classes"][1]["hard-limit"] = json!(900_000_000u64));
+    let mut kernel = scene.link();
+    let mut gateway = scene.gateway();
+    // Half of its time has gone before it is read: due times count from the ingress.
+    let ingress = (unix_ms() - 450).to_string();
+    let began = std::time::Instant::now();
+    gateway.send(&try_records(1, "booking", A, &[("HTTP_X_INGRESS_TIME", &ingress)], b"b"));
+    kernel.expect("SCHED", A);
+    drop(kernel);
+    let answer = gateway.answer();
+    assert_eq!(served(&answer).1, "500", "it may have run");
+    assert!(began.elapsed().as_millis() < 800, "{:?}", began.elapsed());
+}
+
+#[test]
+fn before_the_kernel_is_up_nothing_is_run_and_checks_are_bad() {
+    let scene = Scene::new(|_| ());
+    let mut gateway = scene.gateway();
+    assert_eq!(&gateway.check("").status[..3], "503");
+    gateway.request(2, "quote", A, b"q");
+    let answer = gateway.answer();
+    assert_eq!(served(&answer), (2, "503", &[][..]));
+    assert!(answer.field("X-Throttle-Ms").is_some());
+    let mut kernel = scene.link();
+    gateway.request(3, "quote", B, b"q");
+    kernel.expect("SCHED", B);
+    assert!(scene.report().starts_with("HB n3 UP"));
+}
+
+#[test]
+fn checks_carry_the_free_value_and_deep_ones_ask_the_kernel() {
+    let (scene, mut kernel) = Scene::up();
+    kernel.expect_nothing(80);
+    let mut gateway = scene.gateway();
+    let answer = gateway.check("");
+    assert_eq!(&answer.status[..3], "200");
+    assert!(answer.field("X-Capacity").is_some());
+    for (end, status) in [("good", "200"), ("bad", "503")] {
+        gateway.send(&records(7, &[("SCRIPT_NAME", "/status/live"), ("QUERY_STRING", "a=b&engine=1")], &[]));
+        let post = kernel.command();
+        assert_eq!(post["event"], "POST");
+        kernel.say(json!({"event": "POSTED", "ticket": post["ticket"], "fate": end}), false);
+        let answer = gateway.answer();
+        assert_eq!(&answer.status[..3], status);
+        assert!(answer.field("X-Capacity").is_some());
+    }
+}
+
+#[test]
+fn gauges_are_asked_for_at_the_pace_of_the_timer() {
+    let (_scene, mut kernel) = Scene::up();
+    kernel.expect_nothing(2);
+    let began = std::time::Instant::now();
+    kernel.expect_nothing(50);
+    // Four ticks of 2 ms each; a busy machine only makes it longer.
+    assert!(began.elapsed().as_millis() >= 380, "{:?}", began.elapsed());
+}
+
+#[test]
+fn a_drain_is_reported_runs_nothing_late_and_ends_with_all_answered() {
+    let (mut scene, mut kernel) = Scene::up();
+    assert_eq!(scene.report(), "HB n3 UP");
+    let mut gateway = scene.gateway();
+    gateway.request(1, "quote", A, b"q");
+    kernel.expect("SCHED", A);
+    scene.signal("-TERM");
+    while scene.report() != "HB n3 OUT" {}
+    assert_eq!(&scene.gateway().check("").status[..3], "503");
+    // Past the grace of 300 ms.
+    kernel.expect_nothing(60);
+    gateway.request(2, "quote", B, b"q");
+    let answer = gateway.answer();
+    assert_eq!(served(&answer), (2, "503", &[][..]));
+    assert!(answer.field("X-Throttle-Ms").is_some());
+    // The run under way is never heard of again; it is answered all the same.
+    assert_eq!(served(&gateway.answer()), (1, "500", &[][..]));
+    assert_eq!(scene.counter_printed("requests_read"), 2);
+    assert!(scene.ended_well());
+}
+
+#[test]
+fn what_cannot_be_read_fails_alone_and_is_counted() {
+    let (mut scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    let long = "x".repeat(2049);
+    type Case<'a> = (&'a str, &'a [(&'a str, &'a str)], &'a str, &'a str);
+    let cases: [Case; 9] = [
+        ("unknown", &[], "", "404"),
+        ("quote", &[("HTTP_X_TXN", "xyz")], "", "400"),
+        ("quote", &[("HTTP_X_TXN", "")], "", "400"),
+        ("quote", &[("HTTP_X_INGRESS_TIME", "-5")], "", "400"),
+        ("quote", &[("HTTP_X_CPU_HINT", "NaN")], "", "400"),
+        ("quote", &[("HTTP_X_WORKING_SET_KB", "1e9")], "", "400"),
+        ("booking", &[("HTTP_X_TXN_KEY", "")], "", "400"),
+        ("quote", &[("REQUEST_METHOD", "GET")], "", "405"),
+        ("quote", &[], &long, "413"),
+    ];
+    for (class, changes, body, status) in cases {
+        gateway.send(&try_records(4, class, A, changes, body.as_bytes()));
+        assert_eq!(&gateway.answer().status[..3], status, "{class} {changes:?}");
+    }
+    // A role that is not spoken here, and a record of the connection that is not known.
+    gateway.send(&record(1, 4, &[0, 9, 1, 0, 0, 0, 0, 0]));
+    assert_eq!(gateway.answer().protocol_status, 3);
+    gateway.send(&record(77, 0, &[]));
+    assert_eq!(gateway.record().expect("a record"), (11, 0, vec![77, 0, 0, 0, 0, 0, 0, 0]));
+    // Framing is lost: what came before is answered, then the connection is closed.
+    gateway.request(5, "quote", A, b"q");
+    gateway.send(&[9; 40]);
+    kernel.expect("SCHED", A);
+    kernel.reap(A, "good", b"r");
+    assert_eq!(served(&gateway.answer()), (5, "200", &b"r"[..]));
+    assert!(gateway.is_closed());
+    assert_eq!((scene.counter("requests_bad"), scene.counter("framing_lost")), (9, 1));
+}
+
+#[test]
+fn nonsense_from_kernel_and_store_is_passed_over_or_costs_that_link() {
+    let (mut scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    kernel.say(json!({"event": "NOVEL", "fate": "x"}), false);
+    kernel.say(json!({"event": "REAP", "handle": "short", "fate": "good"}), true);
+    kernel.say(json!(["no", "notice"]).clone(), false);
+    gateway.request(1, "quote", A, b"q");
+    kernel.expect("SCHED", A);
+    kernel.io_req(A, b"c");
+    let mut store = scene.accept_store();
+    store.expect_call(A);
+    store.reply(b"what is this\r\n");
+    let mut store = scene.accept_store();
+    store.expect_call(A);
+    assert_eq!(scene.counter("lines_bad"), 4);
+}
+
+#[test]
+fn a_connection_has_a_bound_on_open_requests() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    for id in 1..=33 {
+        gateway.send(&record(1, id, &[0, 1, 1, 0, 0, 0, 0, 0]));
+    }
+    let answer = gateway.answer();
+    assert_eq!((answer.id, answer.protocol_status), (33, 2));
+    kernel.expect_nothing(2);
+}
+
+#[test]
+fn a_try_whose_id_is_in_use_is_failed_and_never_run() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "quote", A, b"q");
+    kernel.expect("SCHED", A);
+    gateway.request(2, "quote", A, b"q");
+    assert_eq!(served(&gateway.answer()), (2, "400", &[][..]));
+    kernel.reap(A, "good", b"r");
+    assert_eq!(served(&gateway.answer()), (1, "200", &b"r"[..]));
+}
+
+#[test]
+fn a_full_table_makes_room_by_closing_what_is_idle() {
+    let (mut scene, mut kernel) = Scene::up();
+    let mut first = scene.gateway();
+    assert_eq!(&first.check("").status[..3], "200");
+    let mut others: Vec<Gateway> = (0..45).map(|_| scene.gateway()).collect();
+    for gateway in &mut others[40..] {
+        gateway.send(&records(1, &[("SCRIPT_NAME", "/status/live")], &[]));
+        assert_eq!(&gateway.answer().status[..3], "200");
+        kernel.expect_nothing(1);
+    }
+    assert!(first.is_closed());
+    assert!(scene.counter("connections_idle_closed") >= 6);
+}
+
+#[test]
+fn a_configuration_that_makes_no_sense_is_told_in_one_line() {
+    assert!(check_config(&config(1, 2, 3)).status.success());
+    for (path, value, named) in [
+        ("/kernel", json!("here"), "kernel"),
+        ("/kernel", json!(null), "kernel"),
+        ("/name", json!("two words"), "name"),
+        ("/stop_ms", json!(0), "stop_ms"),
+        ("/limits/sockets", json!(3), "sockets"),
+        ("/settings/extra/cores", json!(0), "cores"),
+        ("/settings/extra/cores", json!(null), "CONFIG"),
+        ("/settings/tick", json!(-1), "CONFIG"),
+        ("/settings/classes", json!([]), "classes"),
+        ("/settings/classes/1/name", json!("quote"), "name"),
+        ("/settings/classes/0/effect", json!("odd"), "effect"),
+    ] {
+        let mut text = config(1, 2, 3);
+        *text.pointer_mut(path).expect("there") = value;
+        let out = check_config(&text);
+        let said = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert!(!out.status.success() && said.lines().count() == 1 && said.contains(named), "{path}: {said}");
+    }
+}
--- /dev/null
+++ b/tests/peers/mod.rs
@@ -0,0 +1,416 @@
+//! Scripted peers on loopback and the real program between them: each does only what its test says.
+#![allow(dead_code, missing_docs)]
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Longest that any test waits for anything: far beyond what it takes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
+fn patient(stream: TcpStream) -> TcpStream {
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    stream.set_nodelay(true).expect("no delay");
+    stream
+}
+
+/// The configuration of the tests: one safe class and one keyed class, both with calls.
+pub fn config(kernel: u16, store: u16, members: u16) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "goal-time": 3_000_000_000u64, "hard-limit": 6_000_000_000u64,
+            "dedup-window": 9_000_000_000u64, "worth": 1.0, "late-worth": 0.0})
+    };
+    json!({"name": "n3", "listen": "127.0.0.1:0", "kernel": format!("127.0.0.1:{kernel}"),
+        "store": format!("127.0.0.1:{store}"), "members": format!("127.0.0.1:{members}"),
+        "seed": "8c1f30d27a5be964", "stop_ms": 1500, "novel": {"key": 1},
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64},
+        "settings": {"classes": [class("quote", "pure"), class("booking", "token")], "fleet-size": 2,
+            "worth-by": "work", "over-share-worth": 0.1, "realms": [], "tick": 2_000_000, "novel": "x",
+            "caps": {"retry-after": true, "max-retry-after": 1_000_000_000u64},
+            "extra": {"below": "tier", "callers": 2, "calls-out": 0.0, "class-calls": [true, true],
+                "class-skip-worth": [0.0, 0.0], "cold": false, "cores": 4, "dep-window": 5_000_000_000u64,
+                "fresh-for": 0, "full-checks": true, "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"],
+                "halt": "discard", "heeded": 1_000_000_000, "heap-kb": 70000.0, "key-kb": 100.0,
+                "list-follows": true, "run-factor": 8.0, "signal": "allowance", "stays-for": 200_000_000,
+                "caller-idle": 30_000_000_000u64},
+            "rules": {"grace-to-answer": 80_000_000, "cold-share": 0.22, "cold": 18_000_000_000u64,
+                "drain-grace": 300_000_000, "fall": 2_000_000_000, "fall-multiple": 5.0}}})
+}
+
+/// The program with a place of its own for its configuration.
+pub fn program(config: &Value, subcommand: &str) -> (Command, PathBuf) {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("gaugestand-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, config.to_string()).expect("a configuration file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gaugestand"));
+    command.arg(subcommand).env("BALANCER_CONFIG", &path);
+    command.env_remove("BALANCER_NAME").env_remove("BALANCER_LISTEN");
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    (command, path)
+}
+
+/// The node and the listeners of all its peers.
+pub struct Scene {
+    child: Child,
+    said: BufReader<std::process::ChildStderr>,
+    config: PathBuf,
+    pub address: String,
+    pub kernel: TcpListener,
+    pub store: Socket,
+    pub members: UdpSocket,
+}
+
+impl Scene {
+    /// Starts the program; `change` may alter its configuration.
+    pub fn new(change: impl FnOnce(&mut Value)) -> Self {
+        let kernel = TcpListener::bind("127.0.0.1:0").expect("a port");
+        // Bound but not listening: connections are refused until a test lets it listen.
+        let store = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        store.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        let members = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        members.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        let port = |a: std::io::Result<SocketAddr>| a.expect("bound").port();
+        let store_port = store.local_addr().ok().and_then(|a| a.as_socket()).expect("bound").port();
+        let mut text = config(port(kernel.local_addr()), store_port, port(members.local_addr()));
+        change(&mut text);
+        let (mut command, config) = program(&text, "serve");
+        let mut child = command.spawn().expect("the program starts");
+        let mut said = BufReader::new(child.stderr.take().expect("piped"));
+        let mut line = String::new();
+        said.read_line(&mut line).expect("a first line");
+        let address = line.trim().rsplit(' ').next().unwrap_or_default().to_string();
+        Scene { child, said, config, address, kernel, store, members }
+    }
+
+    /// A scene whose kernel is linked and up.
+    pub fn up() -> (Self, Kernel) {
+        let scene = Scene::new(|_| ());
+        scene.store.listen(16).expect("listening");
+        let kernel = scene.link();
+        (scene, kernel)
+    }
+
+    /// Takes the first link of the kernel, and says that it is up.
+    pub fn link(&self) -> Kernel {
+        let mut kernel = self.accept_kernel();
+        assert_eq!(kernel.command(), json!({"event": "OPEN", "cursor": 0}));
+        kernel.boot();
+        kernel
+    }
+
+    pub fn accept_kernel(&self) -> Kernel {
+        let (stream, _) = self.kernel.accept().expect("a link");
+        Kernel { lines: BufReader::new(patient(stream)), cursor: 0, gauges: 0, busy: [0.1, 0.0, 0.1, 3.0] }
+    }
+
+    pub fn accept_store(&self) -> StorePeer {
+        let (stream, _) = self.store.accept().expect("a link");
+        StorePeer { lines: BufReader::new(patient(stream.into())) }
+    }
+
+    pub fn gateway(&self) -> Gateway {
+        Gateway { stream: patient(TcpStream::connect(&self.address).expect("accepted")) }
+    }
+
+    pub fn report(&self) -> String {
+        let mut buf = [0; 64];
+        let n = self.members.recv(&mut buf).expect("a report");
+        String::from_utf8_lossy(&buf[..n]).into_owned()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// The value of a counter, asked for with SIGUSR1.
+    pub fn counter(&mut self, name: &str) -> u64 {
+        self.signal("-USR1");
+        self.counter_printed(name)
+    }
+
+    /// The value of a counter in the list that comes next on standard error.
+    pub fn counter_printed(&mut self, name: &str) -> u64 {
+        let mut value = None;
+        loop {
+            let mut line = String::new();
+            assert_ne!(self.said.read_line(&mut line).expect("a counter"), 0, "standard error ended");
+            let (key, n) = line.trim().split_once(' ').expect("a name and a value");
+            if key == name {
+                value = n.parse().ok();
+            }
+            if key == "reports_sent" {
+                return value.expect("a counter of that name");
+            }
+        }
+    }
+
+    /// Waits for the end of the program; true if it ended well.
+    pub fn ended_well(&mut self) -> bool {
+        self.child.wait().expect("it ends").success()
+    }
+}
+
+impl Drop for Scene {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+/// The kernel's side of its link.
+pub struct Kernel {
+    lines: BufReader<TcpStream>,
+    pub cursor: u64,
+    /// Questions for gauges that were answered.
+    pub gauges: u64,
+    /// What they are answered with.
+    pub busy: [f64; 4],
+}
+
+impl Kernel {
+    pub fn say(&mut self, mut notice: Value, numbered: bool) {
+        if numbered {
+            self.cursor += 1;
+            notice["cursor"] = json!(self.cursor);
+        }
+        self.lines.get_mut().write_all(format!("{notice}\n").as_bytes()).expect("the node reads");
+    }
+
+    pub fn boot(&mut self) {
+        self.say(json!({"event": "BOOTED", "fate": "old", "lasted": 5}), false);
+    }
+
+    /// The next command as it comes.
+    pub fn any_command(&mut self) -> Value {
+        let mut line = String::new();
+        self.lines.read_line(&mut line).expect("a command");
+        serde_json::from_str(&line).expect("one JSON object a line")
+    }
+
+    /// The next command that is no question for gauges; those are answered.
+    pub fn command(&mut self) -> Value {
+        loop {
+            let command = self.any_command();
+            if command["event"] != "SYSINFO" {
+                return command;
+            }
+            self.info(&command);
+        }
+    }
+
+    pub fn info(&mut self, question: &Value) {
+        self.gauges += 1;
+        self.say(json!({"event": "INFO", "ticket": question["ticket"], "figures": self.busy}), false);
+    }
+
+    /// Reads a command for this request, and its body.
+    pub fn expect(&mut self, event: &str, id: &str) -> Vec<u8> {
+        let command = self.command();
+        assert_eq!((&command["event"], &command["handle"]), (&json!(event), &json!(id)), "{command}");
+        STANDARD.decode(command["arg"].as_str().unwrap_or("")).expect("base64")
+    }
+
+    /// Answers questions for gauges for a while, and fails if any other command comes.
+    pub fn expect_nothing(&mut self, questions: u64) {
+        for _ in 0..questions {
+            let command = self.any_command();
+            assert_eq!(command["event"], "SYSINFO", "{command}");
+            self.info(&command);
+        }
+    }
+
+    pub fn reap(&mut self, id: &str, fate: &str, result: &[u8]) {
+        let arg = STANDARD.encode(result);
+        self.say(json!({"event": "REAP", "handle": id, "fate": fate, "lasted": 7, "arg": arg}), true);
+    }
+
+    pub fn io_req(&mut self, id: &str, body: &[u8]) {
+        self.say(json!({"event": "IOREQ", "handle": id, "arg": STANDARD.encode(body)}), true);
+    }
+}
+
+/// The store's side of its link.
+pub struct StorePeer {
+    lines: BufReader<TcpStream>,
+}
+
+impl StorePeer {
+    /// The next line and, with a call, its body.
+    pub fn line(&mut self) -> (String, Vec<u8>) {
+        let mut line = String::new();
+        self.lines.read_line(&mut line).expect("a line");
+        let line = line.trim_end().to_string();
+        let mut body = Vec::new();
+        if line.starts_with("CALL ") {
+            let len: usize = line.rsplit(' ').next().and_then(|l| l.parse().ok()).expect("a length");
+            body = vec![0; len + 2];
+            self.lines.read_exact(&mut body).expect("a body");
+            assert_eq!(body.split_off(len), b"\r\n");
+        }
+        (line, body)
+    }
+
+    /// Reads a call for this request; returns its body.
+    pub fn expect_call(&mut self, id: &str) -> Vec<u8> {
+        let (line, body) = self.line();
+        assert!(line.starts_with(&format!("CALL {id} ")), "{line}");
+        body
+    }
+
+    pub fn reply(&mut self, bytes: &[u8]) {
+        self.lines.get_mut().write_all(bytes).expect("the node reads");
+    }
+}
+
+/// An answer as a gateway reads it.
+#[derive(Debug, PartialEq)]
+pub struct Answer {
+    pub id: u16,
+    pub protocol_status: u8,
+    pub status: String,
+    pub fields: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+}
+
+/// A record with padding, as some gateways send it.
+pub fn record(kind: u8, id: u16, content: &[u8]) -> Vec<u8> {
+    let padding = (8 - content.len() % 8) % 8;
+    let mut out = vec![1, kind];
+    out.extend(id.to_be_bytes());
+    out.extend((content.len() as u16).to_be_bytes());
+    out.extend([padding as u8, 0]);
+    out.extend(content);
+    out.resize(out.len() + padding, 0);
+    out
+}
+
+pub fn pair(name: &str, value: &str) -> Vec<u8> {
+    let mut out = vec![name.len() as u8];
+    // The longer form of a length may be used for any.
+    out.extend((value.len() as u32 | 0x8000_0000).to_be_bytes());
+    out.extend(name.bytes().chain(value.bytes()));
+    out
+}
+
+/// All records of a request with these parameters and this body.
+pub fn records(id: u16, params: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let params: Vec<u8> = params.iter().flat_map(|(n, v)| pair(n, v)).collect();
+    let mut out = record(1, id, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    out.extend(record(4, id, &params));
+    out.extend(record(4, id, &[]));
+    if !body.is_empty() {
+        out.extend(record(5, id, body));
+    }
+    out.extend(record(5, id, &[]));
+    out
+}
+
+/// All records of a try of class `class`, with changes to its parameters: an empty value takes one out.
+pub fn try_records(id: u16, class: &str, txn: &str, changes: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let (path, now) = (format!("/svc/{class}"), unix_ms().to_string());
+    let mut params = vec![
+        ("REQUEST_METHOD", "POST"),
+        ("SCRIPT_NAME", path.as_str()),
+        ("HTTP_X_TXN", txn),
+        ("HTTP_X_INGRESS_TIME", now.as_str()),
+        ("HTTP_X_ROUTER", "1"),
+        ("HTTP_X_CPU_HINT", "12.50"),
+        ("HTTP_X_WORKING_SET_KB", "24.5"),
+        ("HTTP_X_SHED_ORDER", "0.6250"),
+    ];
+    if class == "booking" {
+        params.push(("HTTP_X_TXN_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+    }
+    for change in changes {
+        params.retain(|p| p.0 != change.0);
+        params.push(*change);
+    }
+    params.retain(|p| !p.1.is_empty());
+    records(id, &params, body)
+}
+
+/// A gateway's connection.
+pub struct Gateway {
+    pub stream: TcpStream,
+}
+
+impl Gateway {
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("the node reads");
+    }
+
+    pub fn request(&mut self, id: u16, class: &str, txn: &str, body: &[u8]) {
+        self.send(&try_records(id, class, txn, &[], body));
+    }
+
+    /// A health check and its answer.
+    pub fn check(&mut self, query: &str) -> Answer {
+        self.send(&records(1, &[("SCRIPT_NAME", "/status/live"), ("QUERY_STRING", query)], &[]));
+        self.answer()
+    }
+
+    /// Reads one record.
+    pub fn record(&mut self) -> std::io::Result<(u8, u16, Vec<u8>)> {
+        let mut head = [0; 8];
+        self.stream.read_exact(&mut head)?;
+        let mut content = vec![0; usize::from(u16::from_be_bytes([head[4], head[5]])) + usize::from(head[6])];
+        self.stream.read_exact(&mut content)?;
+        content.truncate(usize::from(u16::from_be_bytes([head[4], head[5]])));
+        assert_eq!(head[0], 1);
+        Ok((head[1], u16::from_be_bytes([head[2], head[3]]), content))
+    }
+
+    /// Reads the next answer; answers of several requests never mix here.
+    pub fn answer(&mut self) -> Answer {
+        let mut out = Vec::new();
+        let (id, protocol_status) = loop {
+            match self.record().expect("an answer") {
+                (6, _, content) => out.extend(content),
+                (3, id, content) => break (id, content[4]),
+                other => panic!("record {other:?}"),
+            }
+        };
+        let end = out.windows(4).position(|w| w == b"\r\n\r\n").unwrap_or(out.len());
+        let head = String::from_utf8_lossy(&out[..end]).into_owned();
+        let mut fields: Vec<(String, String)> = head
+            .lines()
+            .filter_map(|l| l.split_once(": "))
+            .map(|(n, v)| (n.to_string(), v.to_string()))
+            .collect();
+        let status = if fields.is_empty() { String::new() } else { fields.remove(0).1 };
+        Answer { id, protocol_status, status, fields, body: out.get(end + 4..).unwrap_or_default().to_vec() }
+    }
+
+    /// True if the node closes the connection with nothing more on it.
+    pub fn is_closed(&mut self) -> bool {
+        matches!(self.stream.read(&mut [0]), Ok(0))
+    }
+}
+
+/// What `check-config` makes of a configuration.
+pub fn check_config(config: &Value) -> Output {
+    let (mut command, path) = program(config, "check-config");
+    let out = command.output().expect("the program runs");
+    let _ = std::fs::remove_file(path);
+    out
+}
