Pause before a call that came to nothing is made again

Checked: a scripted store that answers BUSY got six calls for one run within 0.2 ms (test in tests/node.rs without the change). At fault: decide.rs, on_called set AtCall again and make_calls took it in the same step. Now the pause is 0.15% of the mean aim, doubled each time up to a tenth of it (CALL_AGAIN).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,6 +43,9 @@
 /// Share of the surviving call crowd that this worker uses: in the mean, at any one time, and were every call
 /// in hand to last as long as it may. Ours.
 const CALL_SHARE: (f64, f64, f64) = (0.5, 1.5, 0.9);
+/// Pause before a call that came to nothing is made again, as shares of the mean aim: the first, doubled each
+/// time, and the longest. Ours.
+const CALL_AGAIN: (f64, f64) = (0.0015, 0.1);
 /// No run ended for this many mean runs though the cores are full: the worker is struck. Ours.
 const STRUCK_RUNS: f64 = 4.0;
 /// Ticks between two timers. Ours.
@@ -104,6 +107,9 @@
     in_share: bool,
     /// When the call under way is given up.
     call_until: Time,
+    /// Calls that came to nothing, and when the next one may be made.
+    calls_lost: u32,
+    call_at: Time,
     /// The final answer was given, or none is owed.
     answered: bool,
     /// A run was begun at some time.
@@ -540,6 +546,8 @@
             level,
             in_share,
             call_until: Time(0),
+            calls_lost: 0,
+            call_at: Time(0),
             answered: false,
             ran: false,
             kept: false,
@@ -791,11 +799,25 @@
                 self.set_phase(id, Phase::Running);
                 out.push(Action::SkipCall(id));
             }
-            _ if again && self.now < e.aim => self.set_phase(id, Phase::AtCall),
+            _ if again && self.now < e.aim => {
+                self.pause_calls(id);
+                self.set_phase(id, Phase::AtCall);
+            }
             _ => self.turn_away(id, out),
         }
     }
 
+    /// Guard for a dependency that is down or turns calls away: its answer comes at once, and a call made
+    /// again at once goes round as fast as the network does, costs a reading each time and finds it no
+    /// better. Hurts by the pause where the next try would have gone well.
+    fn pause_calls(&mut self, id: RequestId) {
+        let (first, longest) = CALL_AGAIN;
+        let Some(e) = self.requests.get_mut(&id) else { return };
+        let share = (first * 2f64.powi(e.calls_lost.min(16) as i32)).min(longest);
+        e.calls_lost += 1;
+        e.call_at = self.now + Span::from_secs(share * self.est.aim);
+    }
+
     /// Most calls in hand at once. Slow calls are a sign of a crowd there: the bound shrinks with them.
     fn most_calls(&self) -> f64 {
         let ease = self.calls.lag.map_or(1.0, |(late, best)| best / late.max(1e-6));
@@ -825,7 +847,9 @@
     /// made where calls take longer than that.
     fn make_calls(&mut self, out: &mut Vec<Action>) {
         let (most, window) = (self.most_calls(), self.s.call_window.secs().max(1e-3));
-        while let Some(key) = self.calls.waiting.first().copied() {
+        let may = |k: &&HoldKey| self.requests.get(&k.2).is_none_or(|e| e.call_at <= self.now);
+        let ready: Vec<HoldKey> = self.calls.waiting.iter().filter(may).copied().collect();
+        for key in ready {
             let id = key.2;
             let Some(e) = self.requests.get(&id) else { break };
             if e.answered {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -426,3 +426,20 @@
         assert!(!out.status.success() && said.lines().count() == 1 && said.contains(named), "{path}: {said}");
     }
 }
+
+#[test]
+fn a_store_that_turns_a_call_away_is_not_asked_again_at_once() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "quote", A, b"q");
+    kernel.expect("SCHED", A);
+    kernel.io_req(A, b"c");
+    let mut store = scene.accept_store();
+    let began = std::time::Instant::now();
+    for _ in 0..6 {
+        store.expect_call(A);
+        store.reply(format!("{A} BUSY\r\n").as_bytes());
+    }
+    // Pauses of 4.5 ms and its doubles, for an aim of 3 s; a busy machine only makes them longer.
+    assert!(began.elapsed().as_millis() >= 100, "{:?}", began.elapsed());
+}
