Leave room for scatter in the allowance while the cores have time

Ruled out: the cap, the hold, the crash below alone (refusals went on long after it). At fault: decide.rs, signal: an allowance of 2 cap / senders is a mean of one to three with ten gateways. Now two deviations are added while the gauge is under BUSY and the refused share under WAVE (SCATTER).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -56,6 +56,8 @@
 /// Share of its traffic that the signal asks to be kept away, for each unit of refused share; more shuts out
 /// the lowest class while there is room. Ours.
 const SIGNAL: f64 = 0.3;
+/// Deviations of what a caller has in hand about its part that the allowance leaves room for. Ours.
+const SCATTER: f64 = 2.0;
 /// Refused share from which a refusal asks not to try elsewhere: below it was bad luck. Ours.
 const WAVE: f64 = 0.05;
 /// Arrivals over this worker's part of all quotas from which the fleet has too much; below: scatter. Ours.
@@ -947,8 +949,14 @@
             Signal::Floor => 1.0 - open,
             Signal::Weight => open,
             // Where few callers hold what is in hand, each may have its part of twice the cap; where each
-            // holds one at most, an allowance under one is a weight.
-            Signal::Allowance => open * (2.0 * self.cap / self.est.senders.max(1.0)).max(1.0),
+            // holds one at most, an allowance under one is a weight. A part of a few is a mean, about which
+            // what each sends scatters: while the cores have time and little is refused there is room for
+            // that, or callers turn away what this worker has cores for. Hurts as a wave begins.
+            Signal::Allowance => {
+                let part = open * (2.0 * self.cap / self.est.senders.max(1.0)).max(1.0);
+                let roomy = self.est.busy < BUSY && self.est.refused_share < WAVE;
+                if roomy { part + SCATTER * part.sqrt() } else { part }
+            }
         };
         if (value - self.announced).abs() > 0.01 * self.announced.abs() {
             self.announced = value;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -697,6 +697,21 @@
     }
 }
 
+/// Without the room, callers turned away one request in ten that the cores had time for.
+#[test]
+fn an_allowance_has_room_for_scatter_while_the_cores_have_time() {
+    for (busy, roomy) in [(0.5, true), (1.0, false)] {
+        let mut h = Host::new(Settings { signal: Signal::Allowance, ..settings() });
+        h.gauges = Gauges { cpu_busy: Some(busy), runnable: Some(2.0), ..Gauges::default() };
+        let mut said = h.pass(400).into_iter().filter_map(|a| match a {
+            Action::Announce(x) => Some(x),
+            _ => None,
+        });
+        // Twice the cap, which is the two cores, for the one caller that there may be.
+        assert_eq!(said.next_back(), Some(if roomy { 4.0 + 2.0 * 2.0 } else { 4.0 }), "{busy}");
+    }
+}
+
 #[test]
 fn a_run_that_cannot_be_stopped_is_answered_at_its_aim() {
     let mut s = settings();
