Keep connections beyond the budget unaccepted, and cut off half requests that stall

Seen in review: with a table full of busy connections accept() took one more and closed it, though a request may have been written to it already: that is a lost request. A full system (EMFILE) left the listener readable and the loop turning without end; half a request held its descriptor for ever. The test of the full table fails without the change.

--- a/src/node/accept.rs
+++ b/src/node/accept.rs
@@ -20,7 +20,8 @@
 const CHUNK: usize = 16 * 1024;
 /// Most bytes that wait to be read by the other side: all answers that a connection can have open.
 const MOST_OUT: usize = 192 * 1024;
-/// A connection on which nothing could be written for this long is cut off.
+/// A connection whose other side neither reads what waits nor sends the rest of a request for this long is
+/// cut off.
 const STALLED: Micros = Micros::millis(10_000);
 /// Most open requests on a connection, as gateways are told.
 pub const MOST_OPEN: usize = 32;
@@ -137,23 +138,37 @@
 
     /// Accepts what waits; at the end of the budget the longest idle connection makes room.
     pub fn accept(&mut self, now: Micros, counters: &mut Counters) {
-        while let Some(listener) = &self.listener {
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                // The system is out of something, or nobody waits: the poller tells when to try again.
-                Err(_) => return,
-            };
+        loop {
             if self.open_count() >= self.most && !self.close_longest_idle(now, counters) {
-                counters.connections_refused += 1;
-                continue;
+                // Guards against closing a connection that may carry a request already: it waits unaccepted.
+                counters.accept_pauses += 1;
+                return self.listen_for(false);
             }
-            if self.add(now, stream).is_ok() {
-                counters.connections_accepted += 1;
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    if self.add(now, stream).is_ok() {
+                        counters.connections_accepted += 1;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                // Guards against turning without end while the system is out of descriptors or memory.
+                Err(_) => {
+                    counters.accept_pauses += 1;
+                    return self.listen_for(false);
+                }
             }
         }
     }
 
+    fn listen_for(&mut self, connections: bool) {
+        if let Some(listener) = &mut self.listener {
+            // If it cannot be changed the poller goes on as it was, and the next look tries again.
+            let _ = listener.watch(connections, false);
+        }
+    }
+
     fn add(&mut self, now: Micros, stream: TcpStream) -> io::Result<()> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
@@ -241,6 +256,7 @@
             return Vec::new();
         }
         self.next_look = now.plus(LOOK);
+        self.listen_for(true);
         if let Some(idle) = self.idle {
             let old: Vec<ConnId> =
                 self.idle_conns().filter(|(_, u)| now.since(*u) >= idle).map(|c| c.0).collect();
@@ -248,7 +264,7 @@
                 self.close_idle_one(now, id, counters);
             }
         }
-        let stalled = |c: &Conn| c.output.len() > 0 && now.since(c.used) >= STALLED;
+        let stalled = |c: &Conn| c.waits_for_peer() && now.since(c.used) >= STALLED;
         let conns = self.conns.iter().enumerate().filter_map(|(place, c)| c.as_ref().map(|c| (place, c)));
         let cut: Vec<ConnId> =
             conns.filter(|(_, c)| stalled(c)).map(|(place, c)| ConnId { place, serial: c.serial }).collect();
@@ -301,6 +317,12 @@
         self.open.is_empty() && self.output.len() == 0 && self.input.is_empty()
     }
 
+    /// Whether only the other side can go on: it has answers to read, or half a request to send.
+    fn waits_for_peer(&self) -> bool {
+        let owed = self.open.values().any(|o| !matches!(o, Open::Incoming(..)));
+        self.output.len() > 0 || !owed && !self.is_idle()
+    }
+
     fn has_unread(&self) -> bool {
         matches!(self.stream.peek(&mut [0]), Ok(n) if n > 0)
     }
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -27,8 +27,8 @@
     connections_idle_closed,
     /// Connections cut off because the other side did not read, or sent what has no framing.
     connections_cut,
-    /// Times that the descriptor budget kept a connection out.
-    connections_refused,
+    /// Times that connections had to wait unaccepted for want of descriptors.
+    accept_pauses,
     /// Requests read whole.
     requests_read,
     /// Health checks read.
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -15,6 +15,8 @@
 const CONNECT: Micros = Micros::millis(2000);
 /// Most bytes read in one go.
 const CHUNK: usize = 16 * 1024;
+/// Most bytes that may wait to be taken before more are read.
+const MOST_IN: usize = 1 << 20;
 /// Most bytes that may wait to be written.
 const MOST_OUT: usize = 4 << 20;
 
@@ -187,7 +189,7 @@
         None
     }
 
-    /// Reads all that is there; an end of the stream is an error like others.
+    /// Reads what is there, up to a bound; an end of the stream is an error like others.
     fn read(&mut self) -> io::Result<()> {
         let State::Up(stream) = &mut self.state else { return Ok(()) };
         let mut chunk = [0; CHUNK];
@@ -196,7 +198,7 @@
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(n) => {
                     self.input.extend(&chunk[..n]);
-                    if n < CHUNK {
+                    if n < CHUNK || self.input.len() >= MOST_IN {
                         return Ok(());
                     }
                 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -403,6 +403,23 @@
     assert!(scene.counter("connections_idle_closed") >= 6);
 }
 
+#[test]
+fn a_full_table_of_busy_connections_keeps_new_ones_waiting_and_loses_none() {
+    let (mut scene, mut kernel) = Scene::up();
+    let mut busy: Vec<Gateway> = (0..40).map(|_| scene.gateway()).collect();
+    for gateway in &mut busy {
+        gateway.send(&record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0]));
+    }
+    kernel.expect_nothing(5);
+    let mut late = scene.gateway();
+    late.send(&records(1, &[("SCRIPT_NAME", "/status/live")], &[]));
+    kernel.expect_nothing(5);
+    assert!(scene.counter("accept_pauses") >= 1);
+    drop(busy.pop());
+    kernel.expect_nothing(2);
+    assert_eq!(&late.answer().status[..3], "200");
+}
+
 #[test]
 fn a_configuration_that_makes_no_sense_is_told_in_one_line() {
     assert!(check_config(&config(1, 2, 3)).status.success());
