--- a/src/decide.rs
+++ b/src/decide.rs
@@ -479,7 +479,7 @@
         self.reset_cap();
     }
 
-    /// Formula (5) of the paper, with the clamps of `docs/design.md`.
+    /// Formula (5) of the paper. Clamps: the steps up and down, the core count, the crowd that is survived.
     fn reset_cap(&mut self) {
         let (ne, l, lmax, ti) = (self.est.ne, self.l(), self.lmax(), self.est.ti);
         let excess = ti - ne / l;
--- /dev/null
+++ b/tests/facade.rs
@@ -0,0 +1,180 @@
+//! What the facade makes of requests, reports and time: verdicts, with no socket.
+
+mod common;
+
+use common::settings;
+use gaugestand::facade::{Arrival, CallEnd, Facade, Known, Micros, Report, RunEnd, Verdict};
+use gaugestand::{Below, RequestId, Settings};
+use std::rc::Rc;
+
+const PURE: usize = 0;
+const KEYED: usize = 1;
+
+/// A facade whose work is up, and its clock.
+struct Desk {
+    facade: Facade,
+    now: Micros,
+}
+
+impl Desk {
+    fn new() -> Self {
+        let facade = Facade::new(Settings { below: Below::Tier, ..settings() }, 1).expect("sound settings");
+        let mut desk = Desk { facade, now: Micros::millis(3_600_000) };
+        desk.report(Report::Booted { cold: false, age: Micros(0) });
+        desk
+    }
+
+    fn pick(&mut self, id: u128, class: usize, age_ms: u64) -> Vec<Verdict> {
+        let arrival = Arrival {
+            id: RequestId(id),
+            class,
+            repeat_key: Some("k".to_string()),
+            age: Micros::millis(age_ms),
+            hint: None,
+            held_kb: 20.0,
+            rank: 0.5,
+            caller: 1,
+        };
+        let mut out = Vec::new();
+        assert_eq!(self.facade.pick(self.now, arrival, &mut out), Ok(()));
+        out
+    }
+
+    fn report(&mut self, report: Report) -> Vec<Verdict> {
+        let mut out = Vec::new();
+        self.facade.report(self.now, report, &mut out);
+        out
+    }
+
+    /// Lets time pass in steps of 4 ms; nobody answers questions for gauges.
+    fn pass(&mut self, ms: u64) -> Vec<Verdict> {
+        let mut out = Vec::new();
+        for _ in 0..ms / 4 {
+            self.now = self.now.plus(Micros::millis(4));
+            let wake = self.facade.tick(self.now, &mut out);
+            assert!(wake.is_some_and(|w| w > self.now), "it wakes again, and not at once");
+        }
+        out.retain(|v| !matches!(v, Verdict::Gauge | Verdict::IdleLimit(_)));
+        out
+    }
+}
+
+fn id(n: u128) -> RequestId {
+    RequestId(n)
+}
+
+fn result() -> Rc<[u8]> {
+    Rc::from(*b"result")
+}
+
+#[test]
+fn a_run_that_is_given_up_is_failed_at_once_with_when_to_come_back_and_not_refused() {
+    let mut desk = Desk::new();
+    assert_eq!(desk.pick(1, PURE, 0), [Verdict::Run(id(1))]);
+    // The aim is a second; the due time, two more.
+    let out = desk.pass(1100);
+    let fails =
+        |v: &Verdict| matches!(v, Verdict::Fail { id: RequestId(1), stay_away, .. } if stay_away.0 > 0);
+    assert!(out.iter().any(fails) && out.contains(&Verdict::Stop(id(1))), "{out:?}");
+    assert!(!out.iter().any(|v| matches!(v, Verdict::Refuse { .. })), "{out:?}");
+    assert_eq!(desk.facade.owed(), 0);
+    assert_eq!(desk.report(Report::Ended(id(1), RunEnd::Cut)), [Verdict::Forget(id(1))]);
+}
+
+#[test]
+fn what_comes_too_late_to_be_run_is_refused_at_once() {
+    let mut desk = Desk::new();
+    let out = desk.pick(1, PURE, 990);
+    let refused = |v: &Verdict| matches!(v, Verdict::Refuse { stay_away, .. } if stay_away.0 > 0);
+    // With idle cores one run is tried; with busy ones the aim is out of reach.
+    assert_eq!(out, [Verdict::Run(id(1))]);
+    let out = desk.pick(2, PURE, 990);
+    assert!(out.iter().any(refused), "{out:?}");
+}
+
+#[test]
+fn a_window_counts_from_the_ingress_of_the_try_that_ran_and_outlives_no_further_one() {
+    let mut desk = Desk::new();
+    assert_eq!(desk.pick(1, KEYED, 0), [Verdict::Run(id(1))]);
+    let served = desk.report(Report::Ended(id(1), RunEnd::Good(result())));
+    assert_eq!(served, [Verdict::Serve(id(1), result()), Verdict::Forget(id(1))]);
+    desk.pass(4900);
+    let replayed = desk.pick(2, KEYED, 0);
+    assert_eq!(replayed, [Verdict::Replay(id(2), result()), Verdict::Forget(id(2))]);
+    desk.pass(400);
+    // Read after the window of 5 s, but come to the machine in it.
+    assert_eq!(desk.pick(3, KEYED, 350)[0], Verdict::Replay(id(3), result()));
+    // Replays do not lengthen it: this one is a first again.
+    assert_eq!(desk.pick(4, KEYED, 0), [Verdict::Run(id(4))]);
+}
+
+#[test]
+fn a_held_try_that_is_aborted_leaves_its_key_free_and_fails_those_that_wait_for_it() {
+    let mut desk = Desk::new();
+    // Two cores are taken, and two more wait: the keyed one is held.
+    for n in 10..20 {
+        desk.pick(n, PURE, 0);
+    }
+    let held = desk.pick(1, KEYED, 0);
+    assert!(!held.contains(&Verdict::Run(id(1))), "{held:?}");
+    assert_eq!(desk.pick(2, KEYED, 0), []);
+    let out = desk.report(Report::Aborted(id(1)));
+    assert!(out.iter().any(|v| matches!(v, Verdict::Fail { id: RequestId(2), .. })), "{out:?}");
+    assert!(out.contains(&Verdict::Forget(id(1))) && out.contains(&Verdict::Forget(id(2))), "{out:?}");
+}
+
+#[test]
+fn an_end_that_is_told_twice_counts_once() {
+    let mut desk = Desk::new();
+    desk.pick(1, KEYED, 0);
+    assert_eq!(desk.report(Report::Ended(id(1), RunEnd::Good(result()))).len(), 2);
+    assert_eq!(desk.report(Report::Ended(id(1), RunEnd::Bad)), []);
+    assert_eq!(desk.pick(2, KEYED, 0)[0], Verdict::Replay(id(2), result()));
+}
+
+#[test]
+fn the_call_of_a_run_that_ended_is_dropped_and_its_late_reply_ignored() {
+    let mut desk = Desk::new();
+    desk.pick(1, PURE, 0);
+    let called = desk.report(Report::WantsCall(id(1)));
+    assert!(matches!(called[..], [Verdict::Call(RequestId(1), wait)] if wait.0 > 0), "{called:?}");
+    let out = desk.report(Report::Ended(id(1), RunEnd::Cut));
+    assert_eq!(out[0], Verdict::DropCall(id(1)));
+    assert_eq!(desk.report(Report::Called(id(1), CallEnd::Late, Micros(5))), []);
+}
+
+#[test]
+fn an_id_that_is_known_gets_no_second_verdict() {
+    let mut desk = Desk::new();
+    desk.pick(1, PURE, 0);
+    let arrival = Arrival {
+        id: id(1),
+        class: PURE,
+        repeat_key: None,
+        age: Micros(0),
+        hint: None,
+        held_kb: 1.0,
+        rank: 0.0,
+        caller: 1,
+    };
+    let mut out = Vec::new();
+    assert_eq!(desk.facade.pick(desk.now, arrival, &mut out), Err(Known));
+    assert!(out.is_empty());
+}
+
+#[test]
+fn after_the_notice_to_leave_nothing_late_runs_and_all_is_answered_before_the_stop() {
+    let mut desk = Desk::new();
+    assert_eq!(desk.pick(1, KEYED, 0), [Verdict::Run(id(1))]);
+    assert!(desk.facade.healthy());
+    let stop = desk.now.plus(Micros::millis(1900));
+    desk.report(Report::Drain(stop));
+    assert!(!desk.facade.healthy());
+    // The grace is a second.
+    desk.pass(1040);
+    let out = desk.pick(2, PURE, 0);
+    assert!(out.iter().any(|v| matches!(v, Verdict::Refuse { id: RequestId(2), .. })), "{out:?}");
+    desk.pass(840);
+    assert!(desk.now < stop);
+    assert_eq!(desk.facade.owed(), 0);
+}
