Survive a standard error that nobody reads, and test slow readers and store failures

Seen in review: eprint panics when its pipe is closed, so SIGUSR1 would have ended the node; the new test fails with it. Counters and lines are now written with what cannot be written left out. New tests: a gateway that does not read is cut off; ERR and LATE from the store fail a keyed run, VOID waits for the run's end.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 mod node;
 
 use bpaf::{OptionParser, Parser, construct, pure};
+use std::io::{self, Write};
 use std::process::ExitCode;
 
 /// What the program is asked to do.
@@ -32,12 +33,17 @@
         .descr("A booking node: FastCGI requests in, admission decided, work done by the kernel")
 }
 
+/// A line on standard error; the program goes on if nobody reads it.
+fn say(text: &str) {
+    let _ = writeln!(io::stderr(), "gaugestand: {text}");
+}
+
 fn serve() -> Result<(), String> {
     let config = node::config::load().map_err(|e| e.to_string())?;
     let name = config.name.clone();
     let mut node = node::turn::Node::start(config).map_err(|e| e.to_string())?;
     if let Some(address) = node.address() {
-        eprintln!("gaugestand: {name} listens on {address}");
+        say(&format!("{name} listens on {address}"));
     }
     node.run().map_err(|e| e.to_string())
 }
@@ -56,7 +62,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("gaugestand: {problem}");
+            say(&problem);
             ExitCode::FAILURE
         }
     }
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -1,6 +1,7 @@
 //! What the node took in, sent and answered.
 
 use std::fmt;
+use std::io::{self, Write};
 
 macro_rules! counters {
     ($($(#[doc = $doc:literal])+ $name:ident,)+) => {
@@ -20,6 +21,14 @@
     };
 }
 
+impl Counters {
+    /// Writes all of them to standard error. Guards against a reader of it that has gone: what cannot be
+    /// written is left out, where `eprint` would panic.
+    pub fn print(&self) {
+        let _ = io::stderr().write_all(self.to_string().as_bytes());
+    }
+}
+
 counters! {
     /// Connections accepted.
     connections_accepted,
--- a/src/node/turn.rs
+++ b/src/node/turn.rs
@@ -156,7 +156,7 @@
             }
             wake = self.pass();
             if self.is_over() {
-                eprint!("{}", self.counters);
+                self.counters.print();
                 return Ok(());
             }
         }
@@ -234,7 +234,7 @@
             }
             PRINT => {
                 self.drain_signal(PRINT);
-                eprint!("{}", self.counters);
+                self.counters.print();
             }
             key => {
                 if let Some(conn) = self.table.at_key(key) {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -4,6 +4,7 @@
 
 use peers::*;
 use serde_json::json;
+use std::io::Write;
 
 const A: &str = "9b1f03aa5c7e2d41";
 const B: &str = "9b1f03aa5c7e2d42";
@@ -420,6 +421,46 @@
     assert_eq!(&late.answer().status[..3], "200");
 }
 
+#[test]
+fn a_gateway_that_does_not_read_is_cut_off() {
+    let (mut scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    let checks = records(1, &[("SCRIPT_NAME", "/status/live")], &[]).repeat(100);
+    assert!((0..20_000).any(|_| gateway.stream.write_all(&checks).is_err()));
+    assert_eq!(scene.counter("connections_cut"), 1);
+    kernel.expect_nothing(1);
+}
+
+#[test]
+fn standard_error_that_nobody_reads_does_no_harm() {
+    let (mut scene, mut kernel) = Scene::up();
+    scene.stop_listening_to_errors();
+    scene.signal("-USR1");
+    kernel.expect_nothing(5);
+    assert_eq!(&scene.gateway().check("").status[..3], "200");
+}
+
+#[test]
+fn a_call_that_may_have_had_its_effect_fails_a_keyed_run_and_a_void_one_waits_for_its_end() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    let mut store = None;
+    for (n, word) in ["ERR", "LATE", "VOID"].into_iter().enumerate() {
+        let id = format!("9b1f03aa5c7e2d5{n}");
+        gateway.send(&try_records(1, "booking", &id, &[("HTTP_X_TXN_KEY", word)], b"b"));
+        kernel.expect("SCHED", &id);
+        kernel.io_req(&id, b"c");
+        let store = store.get_or_insert_with(|| scene.accept_store());
+        store.expect_call(&id);
+        store.reply(format!("{id} {word}\r\n").as_bytes());
+        if word == "VOID" {
+            kernel.expect_nothing(3);
+            kernel.reap(&id, "cut", &[]);
+        }
+        assert_eq!(served(&gateway.answer()).1, "500", "{word}");
+    }
+}
+
 #[test]
 fn a_configuration_that_makes_no_sense_is_told_in_one_line() {
     assert!(check_config(&config(1, 2, 3)).status.success());
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -64,7 +64,7 @@
 /// The node and the listeners of all its peers.
 pub struct Scene {
     child: Child,
-    said: BufReader<std::process::ChildStderr>,
+    said: BufReader<Box<dyn Read>>,
     config: PathBuf,
     pub address: String,
     pub kernel: TcpListener,
@@ -87,7 +87,8 @@
         change(&mut text);
         let (mut command, config) = program(&text, "serve");
         let mut child = command.spawn().expect("the program starts");
-        let mut said = BufReader::new(child.stderr.take().expect("piped"));
+        let said: Box<dyn Read> = Box::new(child.stderr.take().expect("piped"));
+        let mut said = BufReader::new(said);
         let mut line = String::new();
         said.read_line(&mut line).expect("a first line");
         let address = line.trim().rsplit(' ').next().unwrap_or_default().to_string();
@@ -135,6 +136,12 @@
         assert!(status.expect("kill runs").success());
     }
 
+    /// Closes the reading end of the program's standard error.
+    pub fn stop_listening_to_errors(&mut self) {
+        let (reader, _) = std::io::pipe().expect("a pipe");
+        drop(std::mem::replace(&mut self.said, BufReader::new(Box::new(reader))));
+    }
+
     /// The value of a counter, asked for with SIGUSR1.
     pub fn counter(&mut self, name: &str) -> u64 {
         self.signal("-USR1");
