--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,8 @@
 //! A [`Controller`] lives inside one worker. Each period it resets a concurrency limit (MPL) from the
 //! requests on the cores, their latency and the arrival rate; requests above it are turned away at once
 //! while the cores are busy. It keeps no clock, thread or socket of its own: the worker hands it batches
-//! of [`Event`]s and carries out the [`Action`]s it gets back.
+//! of [`Event`]s and carries out the [`Action`]s it gets back. The simulator's adapter does that itself; the
+//! booking node has the [`facade`] do it, and sees neither.
 //!
 //! ```
 //! use gaugestand::*;
