Refuse a key with another body as a conflict, never with the stored result

Checked: the only way to 200 for a request that the kernel does not know is a replay; Facade::pick looked a key up (keys.get) and never compared bodies, so the key alone got the stored result or a place in the line for it. Ruled out: own results (the kernel answers EINVAL for ids it does not know, which ends as a failure). Now an entry holds a fingerprint of its body (hash keyed anew at each start). Another body is told from the front as Unfit::OtherBody before the controller hears of it, and gets status 409.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -8,6 +8,7 @@
 use crate::decide::Controller;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 
 /// A point on the monotonic clock, or a length of time, in whole microseconds.
@@ -57,13 +58,15 @@
 
 /// One try of a request, as a front read it.
 #[derive(Clone, Debug)]
-pub struct Arrival {
+pub struct Arrival<'a> {
     /// Its id, never used before.
     pub id: RequestId,
     /// Index of its class in the settings.
     pub class: usize,
     /// For keyed classes: what all tries of one request have in common.
     pub repeat_key: Option<String>,
+    /// Its body: all tries of one request carry the same.
+    pub body: &'a [u8],
     /// How long ago it reached the machine.
     pub age: Micros,
     /// Expected work on one core.
@@ -173,15 +176,21 @@
     IdleLimit(Micros),
 }
 
-/// A try with this id is known already; it gets no verdict of its own.
+/// Why a try is not taken in; it gets no verdict of its own, and the controller never hears of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Known;
+pub enum Unfit {
+    /// A try with this id is known already.
+    Known,
+    /// Its key is that of a request with another body.
+    OtherBody,
+}
 
 /// What the facade knows of one try.
 #[derive(Debug)]
 struct Try {
     class: usize,
     repeat_key: Option<Rc<str>>,
+    print: u64,
     ingress: Micros,
     due: Micros,
     /// An answer is owed.
@@ -206,6 +215,8 @@
 #[derive(Debug)]
 struct KeyEntry {
     holder: RequestId,
+    /// Fingerprint of the body that the key came with.
+    print: u64,
     ran: bool,
     until: Micros,
     kept: Kept,
@@ -219,6 +230,8 @@
     controller: Option<Controller>,
     tries: BTreeMap<RequestId, Try>,
     keys: HashMap<Rc<str>, KeyEntry>,
+    /// Takes fingerprints; keyed anew at each start, so that nobody can make two bodies look alike.
+    prints: RandomState,
     /// Due times of tries that are owed an answer.
     owed: BTreeSet<(Micros, RequestId)>,
     timers: BTreeSet<(Micros, u64)>,
@@ -243,6 +256,7 @@
             controller: None,
             tries: BTreeMap::new(),
             keys: HashMap::new(),
+            prints: RandomState::new(),
             owed: BTreeSet::new(),
             timers: BTreeSet::new(),
             due_timers: Vec::new(),
@@ -277,9 +291,9 @@
     }
 
     /// A request came: appends what happens to it and to others.
-    pub fn pick(&mut self, now: Micros, a: Arrival, out: &mut Vec<Verdict>) -> Result<(), Known> {
+    pub fn pick(&mut self, now: Micros, a: Arrival<'_>, out: &mut Vec<Verdict>) -> Result<(), Unfit> {
         if self.tries.contains_key(&a.id) {
-            return Err(Known);
+            return Err(Unfit::Known);
         }
         if self.controller.is_none() {
             // Nothing can be run before the work is up, so nothing was.
@@ -294,13 +308,15 @@
         let keyed = settings.effect == Effect::Keyed;
         let repeat_key: Option<Rc<str>> = a.repeat_key.filter(|_| keyed).map(Rc::from);
         let due = ingress.plus(settings.deadline.into()).max(now);
-        let prior = repeat_key
-            .as_ref()
-            .and_then(|key| self.keys.get(key))
-            .filter(|e| ingress < e.until)
-            .map(|e| e.holder);
+        let print = repeat_key.as_ref().map_or(0, |_| self.prints.hash_one(a.body));
+        let entry = repeat_key.as_ref().and_then(|key| self.keys.get(key)).filter(|e| ingress < e.until);
+        // Guards against a result that goes to whoever names its key: it is another request's.
+        if entry.is_some_and(|e| e.print != print) {
+            return Err(Unfit::OtherBody);
+        }
+        let prior = entry.map(|e| e.holder);
         let (owed, running, ran, calling) = (true, false, false, false);
-        self.tries.insert(a.id, Try { class, repeat_key, ingress, due, owed, running, ran, calling });
+        self.tries.insert(a.id, Try { class, repeat_key, print, ingress, due, owed, running, ran, calling });
         self.owed.insert((due, a.id));
         let request = Request {
             id: a.id,
@@ -531,9 +547,10 @@
     }
 
     fn keep(&mut self, id: RequestId, until: Micros) {
-        if let Some(key) = self.tries.get(&id).and_then(|t| t.repeat_key.clone()) {
+        let Some(t) = self.tries.get(&id) else { return };
+        if let Some(key) = t.repeat_key.clone() {
             let kept = Kept::Open(Vec::new());
-            self.keys.insert(key, KeyEntry { holder: id, ran: false, until, kept });
+            self.keys.insert(key, KeyEntry { holder: id, print: t.print, ran: false, until, kept });
         }
     }
 
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -20,6 +20,8 @@
     Method,
     /// The body or a parameter is too long.
     TooLong,
+    /// The key of a request with another body.
+    Conflict,
 }
 
 impl Fault {
@@ -30,6 +32,7 @@
             Fault::NotFound => "404 Not Found",
             Fault::Method => "405 Method Not Allowed",
             Fault::TooLong => "413 Content Too Large",
+            Fault::Conflict => "409 Conflict",
         }
     }
 }
--- a/src/node/turn.rs
+++ b/src/node/turn.rs
@@ -12,7 +12,7 @@
 use super::poll::Watched;
 use super::request::{Asked, Fault, Incoming, TryParams};
 use super::store::{Store, Word};
-use gaugestand::facade::{Arrival, CallEnd, Facade, Micros, Report, RunEnd, Verdict};
+use gaugestand::facade::{Arrival, CallEnd, Facade, Micros, Report, RunEnd, Unfit, Verdict};
 use gaugestand::{RequestId, SettingsError};
 use polling::{Events, Poller};
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
@@ -335,28 +335,29 @@
     }
 
     fn pick(&mut self, conn: ConnId, fcgi: u16, keeps: bool, t: TryParams, body: Vec<u8>) {
-        if self.tries.contains_key(&t.id) {
-            // The id of another try: whatever became of that one, this one cannot be told apart from it.
-            return self.bad(conn, fcgi, keeps, Fault::Malformed("X-Txn"));
-        }
-        self.counters.requests_read += 1;
         let arrival = Arrival {
             id: t.id,
             class: t.class,
             repeat_key: t.repeat_key,
+            body: &body,
             age: self.clock.age(t.ingress),
             hint: t.hint,
             held_kb: t.held_kb,
             rank: t.rank,
             caller: t.router,
         };
+        let mut verdicts = Vec::new();
+        match self.facade.pick(self.clock.now(), arrival, &mut verdicts) {
+            Ok(()) => {}
+            // Whatever became of the other one, this one cannot be told apart from it.
+            Err(Unfit::Known) => return self.bad(conn, fcgi, keeps, Fault::Malformed("X-Txn")),
+            Err(Unfit::OtherBody) => return self.bad(conn, fcgi, keeps, Fault::Conflict),
+        }
+        self.counters.requests_read += 1;
         if let Some(c) = self.table.get(conn) {
             c.open.insert(fcgi, Open::Owed(t.id, keeps));
         }
         self.tries.insert(t.id, Place { conn, fcgi, class: t.class, body, call: Vec::new() });
-        let mut verdicts = Vec::new();
-        // It is not known: every try that the facade knows has its place in the table above.
-        let _ = self.facade.pick(self.clock.now(), arrival, &mut verdicts);
         self.carry_out(verdicts);
     }
 
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::settings;
-use gaugestand::facade::{Arrival, CallEnd, Facade, Known, Micros, Report, RunEnd, Verdict};
+use gaugestand::facade::{Arrival, CallEnd, Facade, Micros, Report, RunEnd, Unfit, Verdict};
 use gaugestand::{Below, RequestId, Settings};
 use std::rc::Rc;
 
@@ -25,19 +25,23 @@
     }
 
     fn pick(&mut self, id: u128, class: usize, age_ms: u64) -> Vec<Verdict> {
+        self.pick_body(id, class, age_ms, b"body").expect("it is taken in")
+    }
+
+    fn pick_body(&mut self, id: u128, class: usize, age: u64, body: &[u8]) -> Result<Vec<Verdict>, Unfit> {
         let arrival = Arrival {
             id: RequestId(id),
             class,
             repeat_key: Some("k".to_string()),
-            age: Micros::millis(age_ms),
+            body,
+            age: Micros::millis(age),
             hint: None,
             held_kb: 20.0,
             rank: 0.5,
             caller: 1,
         };
         let mut out = Vec::new();
-        assert_eq!(self.facade.pick(self.now, arrival, &mut out), Ok(()));
-        out
+        self.facade.pick(self.now, arrival, &mut out).map(|()| out)
     }
 
     fn report(&mut self, report: Report) -> Vec<Verdict> {
@@ -147,19 +151,25 @@
 fn an_id_that_is_known_gets_no_second_verdict() {
     let mut desk = Desk::new();
     desk.pick(1, PURE, 0);
-    let arrival = Arrival {
-        id: id(1),
-        class: PURE,
-        repeat_key: None,
-        age: Micros(0),
-        hint: None,
-        held_kb: 1.0,
-        rank: 0.0,
-        caller: 1,
-    };
-    let mut out = Vec::new();
-    assert_eq!(desk.facade.pick(desk.now, arrival, &mut out), Err(Known));
-    assert!(out.is_empty());
+    assert_eq!(desk.pick_body(1, PURE, 0, b"body"), Err(Unfit::Known));
+}
+
+// Guards against a stored result, or a place in the line for it, that goes to a request which only names its
+// key: before the run, while it runs and after it.
+#[test]
+fn a_key_with_another_body_is_another_request_and_gets_nothing_of_the_first() {
+    let mut desk = Desk::new();
+    for n in 10..20 {
+        desk.pick(n, PURE, 0);
+    }
+    desk.pick(1, KEYED, 0);
+    assert_eq!(desk.pick_body(2, KEYED, 0, b"other"), Err(Unfit::OtherBody));
+    let mut desk = Desk::new();
+    assert_eq!(desk.pick(1, KEYED, 0), [Verdict::Run(id(1))]);
+    assert_eq!(desk.pick_body(2, KEYED, 0, b"other"), Err(Unfit::OtherBody));
+    assert_eq!(desk.report(Report::Ended(id(1), RunEnd::Good(result())))[0], Verdict::Serve(id(1), result()));
+    assert_eq!(desk.pick_body(3, KEYED, 0, b"other"), Err(Unfit::OtherBody));
+    assert_eq!(desk.pick(4, KEYED, 0)[0], Verdict::Replay(id(4), result()));
 }
 
 #[test]
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -501,3 +501,19 @@
     // Pauses of 4.5 ms and its doubles, for an aim of 3 s; a busy machine only makes them longer.
     assert!(began.elapsed().as_millis() >= 100, "{:?}", began.elapsed());
 }
+
+// Guards against a result that is served to whoever names the key of it.
+#[test]
+fn a_key_with_another_body_is_a_conflict_and_is_never_served() {
+    let (mut scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "booking", A, b"b");
+    kernel.expect("SCHED", A);
+    gateway.request(2, "booking", B, b"other");
+    assert_eq!(served(&gateway.answer()), (2, "409", &[][..]));
+    kernel.reap(A, "good", b"booked");
+    assert_eq!(served(&gateway.answer()), (1, "200", &b"booked"[..]));
+    gateway.request(3, "booking", C, b"other");
+    assert_eq!(served(&gateway.answer()), (3, "409", &[][..]));
+    assert_eq!(scene.counter("requests_bad"), 2);
+}
