Reload on SIGHUP, and give each store call a connection of its own

Probed by test: a second copy of a reply passed as the reply to the next call of the same run (Store::next matched by id alone). Ruled out: the kernel's link (22 breaks, no run lost by them), descriptors (store connections take at most 60 of 512). Now config::reload reads the file again, whole or not at all; kernel, store and membership move to new addresses, runs, cursor and calls that are out go on. Store calls have lanes: one call each while there are enough, none with two calls of one run, closed after 100 ms idle, severed when a reply stops half way. Deep checks outlive a broken kernel link. Reports go out every 250 ms, as a quarter of them is lost: at 700 ms four in a row ended the entry.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 mod node;
 
 use bpaf::{OptionParser, Parser, construct, pure};
-use std::io::{self, Write};
+use node::say;
 use std::process::ExitCode;
 
 /// What the program is asked to do.
@@ -33,11 +33,6 @@
         .descr("A booking node: FastCGI requests in, admission decided, work done by the kernel")
 }
 
-/// A line on standard error; the program goes on if nobody reads it.
-fn say(text: &str) {
-    let _ = writeln!(io::stderr(), "gaugestand: {text}");
-}
-
 fn serve() -> Result<(), String> {
     let config = node::config::load().map_err(|e| e.to_string())?;
     let name = config.name.clone();
--- a/src/node/accept.rs
+++ b/src/node/accept.rs
@@ -13,9 +13,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
-/// Descriptors that the node needs besides gateways' connections: standard streams, poller, listener, links,
+/// Descriptors that the node needs besides connections: standard streams, poller, listener, kernel, members,
 /// signals, and some to spare.
-const OWN: usize = 24;
+const OWN: usize = 20;
 /// Most bytes read from one connection in one go, so that none keeps the others waiting.
 const CHUNK: usize = 16 * 1024;
 /// Most bytes that wait to be read by the other side: all answers that a connection can have open.
@@ -92,7 +92,7 @@
 }
 
 impl Table {
-    /// Listens at the address, within this many descriptors.
+    /// Listens at the address, within this many descriptors besides those of the store's connections.
     pub fn listen(
         poller: &Rc<Poller>,
         at: SocketAddr,
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -194,6 +194,25 @@
     check(file)
 }
 
+/// Reads the configuration again. What a node cannot change while it serves must be as it was; what only tells
+/// of its start (the seed, the fleet and the callers at that time) may differ.
+pub fn reload(old: &Config) -> Result<Config, ConfigError> {
+    let new = load()?;
+    let told = |s: &Settings| Settings { fleet_size: 0, callers: 0, cold: false, ..s.clone() };
+    let same = [
+        ("name", old.name == new.name),
+        ("listen", old.listen == new.listen),
+        ("limits.sockets", old.sockets == new.sockets),
+        ("settings.classes", old.classes == new.classes),
+        ("settings.extra.gauges", old.gauges == new.gauges),
+        ("settings", told(&old.settings) == told(&new.settings)),
+    ];
+    match same.into_iter().find(|s| !s.1) {
+        Some((key, _)) => wrong(key, "cannot change while the node serves"),
+        None => Ok(new),
+    }
+}
+
 fn check(file: File) -> Result<Config, ConfigError> {
     let name = file.name.unwrap_or_default();
     if name.is_empty() || name.contains(char::is_whitespace) {
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -86,8 +86,14 @@
     calls_dropped,
     /// Replies read from the store.
     replies_read,
+    /// Replies to no call that is out on their connection: second copies, unknown ids, calls given up.
+    replies_unasked,
     /// Links to the store made.
     store_links,
+    /// New configurations that took effect.
+    reloads,
+    /// New configurations that were turned down.
+    reloads_failed,
     /// Reports to the membership service.
     reports_sent,
 }
--- a/src/node/kernel.rs
+++ b/src/node/kernel.rs
@@ -156,6 +156,10 @@
 #[derive(Debug)]
 pub struct Kernel {
     link: Link,
+    key: usize,
+    poller: Rc<Poller>,
+    /// Counts the links, so that what was asked on an earlier one can be asked again.
+    links: u64,
     /// Number of the last notice read.
     cursor: u64,
     unread: VecDeque<Unread>,
@@ -171,7 +175,25 @@
     pub fn new(to: SocketAddr, key: usize, poller: &Rc<Poller>, gauges: &[String]) -> Self {
         let link = Link::new(to, key, poller);
         let (cursor, unread, ticket) = (0, VecDeque::new(), 0);
-        Kernel { link, cursor, unread, ticket, gauges: gauges.to_vec(), barrier: None, booted: false }
+        let (poller, gauges) = (poller.clone(), gauges.to_vec());
+        let (links, barrier, booted) = (0, None, false);
+        Kernel { link, key, poller, links, cursor, unread, ticket, gauges, barrier, booted }
+    }
+
+    /// From now on the kernel is at this address; true if that is another one. The numbers of its notices go
+    /// on, and commands that the old link may have swallowed are said again on the new one.
+    pub fn move_to(&mut self, to: SocketAddr) -> bool {
+        if self.link.address() == to {
+            return false;
+        }
+        self.link = Link::new(to, self.key, &self.poller);
+        (self.barrier, self.booted) = (None, false);
+        true
+    }
+
+    /// The number of the present link, or of the last one.
+    pub fn link_number(&self) -> u64 {
+        self.links
     }
 
     /// Whether commands are read now.
@@ -243,6 +265,7 @@
         let change = self.link.ready(now, readable, writable);
         if change == Some(Change::Up) {
             counters.kernel_links += 1;
+            self.links += 1;
             (self.barrier, self.booted) = (None, false);
             self.send(&format!(r#"{{"event":"OPEN","cursor":{}}}"#, self.cursor));
         }
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -5,8 +5,9 @@
 use std::io;
 use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 
-/// Time between two reports; the entry lapses after 3 s, so that two may be lost.
-const EVERY: Micros = Micros::millis(700);
+/// Time between two reports; the entry lapses after 3 s. Guards against a network that loses a quarter of them:
+/// with four reports a second, eleven in a row have to be lost.
+const EVERY: Micros = Micros::millis(250);
 
 /// The reporter.
 #[derive(Debug)]
@@ -31,6 +32,15 @@
         Ok(Members { to: to.map(open).transpose()?, name: name.to_string(), last: None })
     }
 
+    /// From now on the service is at this address, and hears from this node at once; if that cannot be, nothing
+    /// has changed.
+    pub fn move_to(&mut self, to: Option<SocketAddr>) -> io::Result<()> {
+        if self.to.as_ref().map(|(to, _)| *to) != to {
+            *self = Members::new(to, &self.name)?;
+        }
+        Ok(())
+    }
+
     /// Reports if it is time to, or if the state changed; returns when to call again.
     pub fn tick(&mut self, now: Micros, up: bool, counters: &mut Counters) -> Option<Micros> {
         let (to, socket) = self.to.as_ref()?;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,3 +15,10 @@
 pub mod request;
 pub mod store;
 pub mod turn;
+
+use std::io::{self, Write};
+
+/// A line on standard error; the program goes on if nobody reads it.
+pub fn say(text: &str) {
+    let _ = writeln!(io::stderr(), "gaugestand: {text}");
+}
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -1,7 +1,11 @@
-//! Calls to the next tier: lines with bodies, many calls on one connection.
+//! Calls to the next tier: lines with bodies, on a few connections.
+//!
+//! Each connection, a lane, has one call at a time while there are lanes left, since a spoilt reply costs all
+//! calls on its connection. Replies count only on the lane that has the call, and no lane has two calls of one
+//! run: a second copy of the first reply would pass for the reply to the second.
 
 use super::counters::Counters;
-use super::link::{Change, Link};
+use super::link::{CONNECT, Change, Link};
 use super::request::{id_of, id_text};
 use gaugestand::RequestId;
 use gaugestand::facade::{CallEnd, Micros};
@@ -14,11 +18,20 @@
 pub const MOST_LINE: usize = 128;
 /// Longest body of a reply.
 pub const MOST_BODY: usize = 64 * 1024;
-/// The connection is closed after this long without a call, sooner than the other side would: a call that
-/// crosses its close would prove nothing.
-const IDLE: Micros = Micros::millis(8_000);
+/// A connection without a call for this long is closed. Guards against the other side's forgetting it: a call on
+/// one that is forgotten, or that crosses its close, is lost and proves nothing; a new connection costs little.
+const IDLE: Micros = Micros::millis(100);
 /// A reply that has not come this long after the call's time counts as late.
 const OVERTIME: Micros = Micros::millis(200);
+/// A reply of which a part has come is spoilt if the rest has not come by then.
+const STALLED: Micros = Micros::millis(250);
+/// Most connections, whatever the descriptors.
+pub const MOST_LANES: usize = 64;
+
+/// The connections that a node with so many descriptors may have: half of them are the gateways'.
+pub fn lanes_within(sockets: usize) -> usize {
+    (sockets / 8).saturating_sub(4).clamp(2, MOST_LANES)
+}
 
 /// What a reply says.
 #[derive(Clone, Debug, PartialEq)]
@@ -86,29 +99,55 @@
     at: Option<u64>,
 }
 
-/// The store, with the calls that are out.
+impl Call {
+    /// When it has run out of time unheard.
+    fn over(&self) -> Micros {
+        self.began.plus(self.wait).plus(OVERTIME)
+    }
+}
+
+/// The end of a call.
+#[derive(Debug, PartialEq)]
+pub struct Ended {
+    /// Whose call it was.
+    pub id: RequestId,
+    /// How it ended.
+    pub end: CallEnd,
+    /// The reply for the run, after a good end.
+    pub reply: Option<Vec<u8>>,
+    /// How long it took.
+    pub lag: Micros,
+}
+
+/// One connection with the calls that are out on it.
 #[derive(Debug)]
-pub struct Store {
-    link: Option<Link>,
+struct Lane {
+    link: Link,
     calls: BTreeMap<RequestId, Call>,
+    /// Told apart from another one in the same place.
+    serial: u64,
+    /// Last time that a call or a reply passed.
     used: Micros,
+    /// Since when a reply has come in part.
+    partial: Option<Micros>,
+    /// Takes no more calls: its address is out of date, or a reply never came on it.
+    retired: bool,
 }
 
-impl Store {
-    /// A store at this address; where there is none, calls run out of time.
-    pub fn new(to: Option<SocketAddr>, key: usize, poller: &Rc<Poller>) -> Self {
-        Store { link: to.map(|to| Link::new(to, key, poller)), calls: BTreeMap::new(), used: Micros(0) }
-    }
-
-    /// Makes a call; one that is out for the same request is given up with it.
-    pub fn call(&mut self, now: Micros, id: RequestId, wait: Micros, body: Vec<u8>, counters: &mut Counters) {
-        self.calls.insert(id, Call { began: now, wait, body, at: None });
-        self.send(now, counters);
+impl Lane {
+    /// When it is to be looked at although nothing comes.
+    fn due(&self) -> Option<Micros> {
+        let late = self.calls.values().map(Call::over).min();
+        let stalled = self.partial.map(|since| since.plus(STALLED));
+        let idle = self.calls.is_empty().then(|| self.used.plus(IDLE));
+        [late, stalled, idle, self.link.wake(true)].into_iter().flatten().min()
     }
 
     /// Queues the calls that are not on the link yet, if it is up.
     fn send(&mut self, now: Micros, counters: &mut Counters) {
-        let Some(link) = self.link.as_mut().filter(|l| l.is_up()) else { return };
+        if !self.link.is_up() {
+            return;
+        }
         self.used = now;
         for (id, call) in self.calls.iter_mut().filter(|(_, c)| c.at.is_none()) {
             // What the wait for the link took is off the time of the call.
@@ -117,110 +156,235 @@
                 format!("CALL {} {} {}\r\n", id_text(*id), left.max(1), call.body.len()).into_bytes();
             line.extend(&call.body);
             line.extend(b"\r\n");
-            call.at = Some(link.send(line));
+            call.at = Some(self.link.send(line));
             counters.calls_sent += 1;
         }
     }
 
-    /// Gives up a call; nothing is heard of it any more.
-    pub fn drop_call(&mut self, id: RequestId, counters: &mut Counters) {
-        let Some(call) = self.calls.remove(&id) else { return };
-        if let (Some(_), Some(link)) = (call.at, &mut self.link) {
-            link.send(format!("DROP {}\r\n", id_text(id)).into_bytes());
-            counters.calls_dropped += 1;
-        }
-    }
-
-    /// The poller has something for this link.
-    pub fn ready(
-        &mut self,
-        now: Micros,
-        readable: bool,
-        writable: bool,
-        counters: &mut Counters,
-    ) -> Option<Change> {
-        let change = self.link.as_mut()?.ready(now, readable, writable);
-        if change == Some(Change::Up) {
-            counters.store_links += 1;
-            self.send(now, counters);
-        }
-        change
-    }
-
-    /// The next reply to a call that is out: whose, what it says, how long it took.
-    pub fn next(&mut self, now: Micros, counters: &mut Counters) -> Option<(RequestId, Word, Micros)> {
+    /// Takes the replies that were read; appends the calls that they end.
+    fn take_replies(&mut self, now: Micros, counters: &mut Counters, out: &mut Vec<Ended>) {
         loop {
-            let link = self.link.as_mut()?;
-            let (len, id, word) = match reply(link.input()) {
-                Reply::Part => return None,
+            let (len, id, word) = match reply(self.link.input()) {
+                Reply::Part => break,
                 Reply::Bad => {
                     counters.lines_bad += 1;
                     // What was read makes no sense, and nothing after it can be trusted.
-                    link.sever();
-                    return None;
+                    self.link.sever();
+                    break;
                 }
                 Reply::Whole(len, id, word) => (len, id, word),
             };
-            link.consume(len);
+            self.link.consume(len);
+            self.partial = None;
             counters.replies_read += 1;
-            self.used = now;
-            // A run that is over is reaped by the kernel: this reply only says the same.
-            if word == Word::Void {
-                continue;
-            }
-            if let Some(call) = self.calls.remove(&id) {
-                return Some((id, word, now.since(call.began)));
+            let (end, reply) = match word {
+                Word::Ok(body) => (CallEnd::Good, Some(body)),
+                Word::Busy => (CallEnd::Busy, None),
+                Word::Err => (CallEnd::Failed, None),
+                Word::Late => (CallEnd::Late, None),
+                // A run that is over is reaped by the kernel: this reply only says the same.
+                Word::Void => continue,
+            };
+            match self.calls.remove(&id) {
+                Some(call) => out.push(Ended { id, end, reply, lag: now.since(call.began) }),
+                None => counters.replies_unasked += 1,
             }
+            self.used = now;
+        }
+        self.partial = if self.link.input().is_empty() { None } else { self.partial.or(Some(now)) };
+    }
+
+    /// Ends all calls as the link went down.
+    fn fail_all(&mut self, now: Micros, change: Change, out: &mut Vec<Ended>) {
+        let written = self.link.written();
+        for (id, call) in std::mem::take(&mut self.calls) {
+            let end = match call.at {
+                // A broken link proves nothing of what was sent; what was not sent never ran.
+                Some(at) if change == Change::Broken && at < written => CallEnd::Broken,
+                _ => CallEnd::Unreachable,
+            };
+            out.push(Ended { id, end, reply: None, lag: now.since(call.began) });
+        }
+    }
+}
+
+/// The store, with the calls that are out.
+#[derive(Debug)]
+pub struct Store {
+    to: Option<SocketAddr>,
+    first_key: usize,
+    poller: Rc<Poller>,
+    lanes: Vec<Option<Lane>>,
+    serial: u64,
+    /// The lanes, by serial, that have had a call of a try.
+    carried: BTreeMap<RequestId, Vec<u64>>,
+    /// Lanes with something to write or to settle this turn.
+    touched: Vec<usize>,
+    /// Calls that came to nothing before a lane had them.
+    unplaced: Vec<Ended>,
+    /// Nothing is due before.
+    due: Micros,
+}
+
+impl Store {
+    /// A store at this address, reached over at most so many connections; where there is none, nobody can be
+    /// reached.
+    pub fn new(to: Option<SocketAddr>, first_key: usize, most: usize, poller: &Rc<Poller>) -> Self {
+        let lanes = (0..most).map(|_| None).collect();
+        let (poller, carried, due) = (poller.clone(), BTreeMap::new(), Micros(0));
+        Store { to, first_key, poller, lanes, serial: 0, carried, touched: vec![], unplaced: vec![], due }
+    }
+
+    /// From now on new calls go to this address; those that are out end on the connections that they have.
+    pub fn move_to(&mut self, to: Option<SocketAddr>) {
+        if self.to != to {
+            self.to = to;
+            self.lanes.iter_mut().flatten().for_each(|lane| lane.retired = true);
+            self.due = Micros(0);
         }
     }
 
-    /// What a change of the link means for the calls that are out.
-    pub fn changed(&mut self, now: Micros, change: Change) -> Vec<(RequestId, CallEnd, Micros)> {
-        if change == Change::Up {
-            return Vec::new();
+    /// Makes a call; one that is out for the same request is given up with it.
+    pub fn call(&mut self, now: Micros, id: RequestId, wait: Micros, body: Vec<u8>, counters: &mut Counters) {
+        self.drop_call(id, counters);
+        let call = Call { began: now, wait, body, at: None };
+        self.due = self.due.min(call.over()).min(now.plus(CONNECT));
+        let place = self.place(now, id);
+        let lane = place.and_then(|place| self.lanes.get_mut(place)?.as_mut().map(|lane| (place, lane)));
+        let Some((place, lane)) = lane else {
+            self.unplaced.push(Ended { id, end: CallEnd::Unreachable, reply: None, lag: Micros(0) });
+            self.due = now;
+            return;
+        };
+        lane.calls.insert(id, call);
+        lane.send(now, counters);
+        self.carried.entry(id).or_default().push(lane.serial);
+        self.touched.push(place);
+    }
+
+    /// The lane for a call: one that was free a moment ago, else a new one, else that with the fewest calls.
+    fn place(&mut self, now: Micros, id: RequestId) -> Option<usize> {
+        let to = self.to?;
+        let had = self.carried.get(&id).map_or(&[][..], Vec::as_slice);
+        let lanes = self.lanes.iter().enumerate().filter_map(|(place, l)| Some((place, l.as_ref()?)));
+        let may = |l: &Lane| !l.retired && l.partial.is_none() && !had.contains(&l.serial);
+        let lanes: Vec<(usize, &Lane)> = lanes.filter(|(_, l)| may(l)).collect();
+        let free = lanes.iter().filter(|(_, l)| l.calls.is_empty() && l.link.is_up());
+        let free = free.filter(|(_, l)| now.since(l.used) < IDLE).max_by_key(|(_, l)| l.used);
+        if let Some((place, _)) = free {
+            return Some(*place);
         }
-        let written = self.link.as_ref().map_or(0, Link::written);
-        let calls = std::mem::take(&mut self.calls);
-        let end = |call: &Call| match call.at {
-            // A broken link proves nothing of what was sent; what was not sent never ran.
-            Some(at) if change == Change::Broken && at < written => CallEnd::Broken,
-            _ => CallEnd::Unreachable,
+        let Some(place) = self.lanes.iter().position(Option::is_none) else {
+            return lanes.iter().min_by_key(|(_, l)| l.calls.len()).map(|(place, _)| *place);
         };
-        calls.into_iter().map(|(id, call)| (id, end(&call), now.since(call.began))).collect()
-    }
-
-    /// Connects if there are calls, closes when idle; ends calls that ran out of time unheard.
-    pub fn tick(
-        &mut self,
-        now: Micros,
-        counters: &mut Counters,
-    ) -> (Option<Change>, Vec<(RequestId, Micros)>) {
-        let over = |c: &Call| now >= c.began.plus(c.wait).plus(OVERTIME);
-        let late: Vec<_> =
-            self.calls.iter().filter(|(_, c)| over(c)).map(|(id, c)| (*id, now.since(c.began))).collect();
-        for (id, _) in &late {
-            self.drop_call(*id, counters);
+        let mut link = Link::new(to, self.first_key + place, &self.poller);
+        if link.connect(now).is_some() {
+            return None;
         }
-        let Some(link) = &mut self.link else { return (None, late) };
-        let mut change = link.tick(now);
-        if change.is_none() && !self.calls.is_empty() {
-            change = link.connect(now);
-        } else if self.calls.is_empty() && link.is_up() && now.since(self.used) >= IDLE {
-            link.close(now);
+        self.serial += 1;
+        let (calls, serial) = (BTreeMap::new(), self.serial);
+        self.lanes[place] = Some(Lane { link, calls, serial, used: now, partial: None, retired: false });
+        Some(place)
+    }
+
+    /// Gives up a call; nothing is heard of it any more.
+    pub fn drop_call(&mut self, id: RequestId, counters: &mut Counters) {
+        let has = |l: &Option<Lane>| l.as_ref().is_some_and(|l| l.calls.contains_key(&id));
+        let Some(place) = self.lanes.iter().position(has) else { return };
+        let Some(lane) = &mut self.lanes[place] else { return };
+        if lane.calls.remove(&id).is_some_and(|call| call.at.is_some()) {
+            lane.link.send(format!("DROP {}\r\n", id_text(id)).into_bytes());
+            counters.calls_dropped += 1;
+            self.touched.push(place);
         }
-        (change, late)
+        self.due = Micros(0);
+    }
+
+    /// Nothing more comes for this try.
+    pub fn forget(&mut self, id: RequestId) {
+        self.carried.remove(&id);
+    }
+
+    /// Whether this is the poller key of a lane.
+    pub fn has_key(&self, key: usize) -> bool {
+        (self.first_key..self.first_key + self.lanes.len()).contains(&key)
+    }
+
+    /// The poller has something for the lane with this key; returns the calls that ended.
+    pub fn ready(&mut self, now: Micros, event: polling::Event, counters: &mut Counters) -> Vec<Ended> {
+        let mut out = Vec::new();
+        let place = event.key.wrapping_sub(self.first_key);
+        let Some(Some(lane)) = self.lanes.get_mut(place) else { return out };
+        match lane.link.ready(now, event.readable, event.writable) {
+            Some(Change::Up) => {
+                counters.store_links += 1;
+                lane.send(now, counters);
+            }
+            Some(change) => {
+                lane.fail_all(now, change, &mut out);
+                self.lanes[place] = None;
+                return out;
+            }
+            None => lane.take_replies(now, counters, &mut out),
+        }
+        if let Some(due) = lane.due() {
+            self.due = self.due.min(due);
+        }
+        self.touched.push(place);
+        out
+    }
+
+    /// Ends what is overdue and closes lanes of no more use; returns the calls that ended.
+    pub fn tick(&mut self, now: Micros, counters: &mut Counters) -> Vec<Ended> {
+        let mut out = std::mem::take(&mut self.unplaced);
+        if now < self.due {
+            return out;
+        }
+        let mut late = Vec::new();
+        for (place, slot) in self.lanes.iter_mut().enumerate() {
+            let Some(lane) = slot else { continue };
+            if let Some(change) = lane.link.tick(now) {
+                lane.fail_all(now, change, &mut out);
+            }
+            if lane.partial.is_some_and(|since| now.since(since) >= STALLED) {
+                counters.lines_bad += 1;
+                (lane.partial, lane.retired) = (None, true);
+                lane.link.sever();
+                self.touched.push(place);
+            }
+            let over = lane.calls.iter().filter(|(_, c)| now >= c.over());
+            for (id, call) in over {
+                late.push(Ended { id: *id, end: CallEnd::Late, reply: None, lag: now.since(call.began) });
+                // Guards against a connection that has gone quiet: not even the end of the time was told.
+                lane.retired = true;
+            }
+            let idle = lane.calls.is_empty() && (lane.retired || now.since(lane.used) >= IDLE);
+            if lane.link.is_down() || idle {
+                *slot = None;
+            }
+        }
+        late.iter().for_each(|call| self.drop_call(call.id, counters));
+        out.extend(late);
+        let due = self.lanes.iter().flatten().filter_map(Lane::due).min();
+        self.due = due.unwrap_or(Micros(u64::MAX));
+        out
     }
 
     /// When to call [`Store::tick`] again.
     pub fn wake(&self) -> Option<Micros> {
-        let late = self.calls.values().map(|c| c.began.plus(c.wait).plus(OVERTIME)).min();
-        let link = self.link.as_ref();
-        let idle = link.filter(|l| l.is_up() && self.calls.is_empty()).map(|_| self.used.plus(IDLE));
-        [late, link.and_then(|l| l.wake(!self.calls.is_empty())), idle].into_iter().flatten().min()
+        Some(self.due).filter(|due| due.0 < u64::MAX)
     }
 
-    /// Writes what can be written.
-    pub fn flush(&mut self, now: Micros) -> Option<Change> {
-        self.link.as_mut()?.flush(now)
+    /// Writes what can be written; returns the calls that ended as their link broke.
+    pub fn flush(&mut self, now: Micros) -> Vec<Ended> {
+        let mut out = Vec::new();
+        for place in std::mem::take(&mut self.touched) {
+            let Some(Some(lane)) = self.lanes.get_mut(place) else { continue };
+            if let Some(change) = lane.link.flush(now) {
+                lane.fail_all(now, change, &mut out);
+                self.lanes[place] = None;
+            }
+        }
+        out
     }
 }
--- a/src/node/turn.rs
+++ b/src/node/turn.rs
@@ -11,11 +11,12 @@
 use super::members::Members;
 use super::poll::Watched;
 use super::request::{Asked, Fault, Incoming, TryParams};
-use super::store::{Store, Word};
-use gaugestand::facade::{Arrival, CallEnd, Facade, Micros, Report, RunEnd, Unfit, Verdict};
+use super::store::{self, Ended, Store};
+use super::{config, say};
+use gaugestand::facade::{Arrival, Facade, Micros, Report, RunEnd, Unfit, Verdict};
 use gaugestand::{RequestId, SettingsError};
 use polling::{Events, Poller};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::collections::BTreeMap;
 use std::io::{self, Read};
 use std::os::unix::net::UnixStream;
@@ -26,10 +27,11 @@
 /// Poller keys; connections follow.
 const LISTENER: usize = 0;
 const KERNEL: usize = 1;
-const STORE: usize = 2;
-const LEAVE: usize = 3;
-const PRINT: usize = 4;
-const FIRST_CONN: usize = 8;
+const LEAVE: usize = 2;
+const PRINT: usize = 3;
+const RELOAD: usize = 4;
+const FIRST_LANE: usize = 8;
+const FIRST_CONN: usize = FIRST_LANE + store::MOST_LANES;
 
 /// A deep check that the kernel has not answered by then has failed.
 const CHECK: Micros = Micros::millis(3_000);
@@ -78,6 +80,8 @@
     conn: ConnId,
     fcgi: u16,
     since: Micros,
+    /// The kernel's ticket for it, and the number of the link that it was asked on.
+    asked: Option<(u64, u64)>,
 }
 
 /// The node.
@@ -93,9 +97,10 @@
     facade: Facade,
     counters: Counters,
     tries: BTreeMap<RequestId, Place>,
-    checks: BTreeMap<u64, Check>,
+    checks: Vec<Check>,
     leave: Watched<UnixStream>,
     print: Watched<UnixStream>,
+    reload: Watched<UnixStream>,
     /// After the notice to leave: when the process is stopped.
     stop: Option<Micros>,
 }
@@ -113,19 +118,21 @@
     /// Listens, and prepares everything else.
     pub fn start(config: Config) -> Result<Self, NodeError> {
         let poller = Rc::new(Poller::new().map_err(io_error("poller"))?);
-        let table = Table::listen(&poller, config.listen, LISTENER, FIRST_CONN, config.sockets)
+        let lanes = store::lanes_within(config.sockets);
+        let table = Table::listen(&poller, config.listen, LISTENER, FIRST_CONN, config.sockets - lanes)
             .map_err(io_error("listening"))?;
         let facade = Facade::new(config.settings.clone(), config.seed).map_err(NodeError::Settings)?;
         Ok(Node {
             clock: Clock::new(),
             kernel: Kernel::new(config.kernel, KERNEL, &poller, &config.gauges),
-            store: Store::new(config.store, STORE, &poller),
+            store: Store::new(config.store, FIRST_LANE, lanes, &poller),
             members: Members::new(config.members, &config.name).map_err(io_error("members"))?,
             counters: Counters::default(),
             tries: BTreeMap::new(),
-            checks: BTreeMap::new(),
+            checks: Vec::new(),
             leave: on_signal(&poller, LEAVE, &[SIGTERM, SIGINT]).map_err(io_error("signals"))?,
             print: on_signal(&poller, PRINT, &[SIGUSR1]).map_err(io_error("signals"))?,
+            reload: on_signal(&poller, RELOAD, &[SIGHUP]).map_err(io_error("signals"))?,
             stop: None,
             config,
             poller,
@@ -175,14 +182,9 @@
         if let Some(change) = self.kernel.tick(now) {
             self.kernel_changed(change);
         }
-        let (change, late) = self.store.tick(now, &mut self.counters);
-        for (id, lag) in late {
-            self.report(Report::Called(id, CallEnd::Late, lag));
-        }
-        if let Some(change) = change {
-            self.store_changed(change);
-        }
-        self.end_checks();
+        let ended = self.store.tick(now, &mut self.counters);
+        self.calls_ended(ended);
+        self.post_checks();
         let gone = self.table.tick(now, &mut self.counters);
         self.connections_gone(gone);
         let mut verdicts = Vec::new();
@@ -200,7 +202,7 @@
             .stop
             .map(|stop| stop.since(if now.plus(STOP_LISTENING) < stop { STOP_LISTENING } else { GONE }));
         wake.extend([self.kernel.wake(), self.store.wake(), leaving]);
-        wake.extend(self.checks.values().map(|c| Some(c.since.plus(CHECK))));
+        wake.extend(self.checks.iter().map(|c| Some(c.since.plus(CHECK))));
         // Nothing is looked at again at once: what is overdue then waits for something else to happen.
         wake.into_iter().flatten().min().unwrap_or(now.plus(LONGEST_WAIT)).max(now.plus(Micros(200)))
     }
@@ -213,11 +215,11 @@
             let kernel = self.kernel.flush(now);
             let store = self.store.flush(now);
             let gone = self.table.flush(now, &mut self.counters);
-            if kernel.is_none() && store.is_none() && gone.is_empty() {
+            if kernel.is_none() && store.is_empty() && gone.is_empty() {
                 break;
             }
             kernel.into_iter().for_each(|change| self.kernel_changed(change));
-            store.into_iter().for_each(|change| self.store_changed(change));
+            self.calls_ended(store);
             self.connections_gone(gone);
         }
     }
@@ -227,7 +229,6 @@
         match event.key {
             LISTENER => self.table.accept(now, &mut self.counters),
             KERNEL => self.take_kernel(event.readable, event.writable),
-            STORE => self.take_store(event.readable, event.writable),
             LEAVE => {
                 self.drain_signal(LEAVE);
                 self.begin_drain();
@@ -236,6 +237,14 @@
                 self.drain_signal(PRINT);
                 self.counters.print();
             }
+            RELOAD => {
+                self.drain_signal(RELOAD);
+                self.take_configuration();
+            }
+            key if self.store.has_key(key) => {
+                let ended = self.store.ready(now, event, &mut self.counters);
+                self.calls_ended(ended);
+            }
             key => {
                 if let Some(conn) = self.table.at_key(key) {
                     self.take_conn(conn, event.readable);
@@ -245,7 +254,11 @@
     }
 
     fn drain_signal(&mut self, key: usize) {
-        let pipe = if key == LEAVE { &mut self.leave } else { &mut self.print };
+        let pipe = match key {
+            LEAVE => &mut self.leave,
+            PRINT => &mut self.print,
+            _ => &mut self.reload,
+        };
         // The bytes say nothing; only that they came matters.
         while matches!(pipe.read(&mut [0; 64]), Ok(n) if n > 0) {}
     }
@@ -259,6 +272,31 @@
         }
     }
 
+    /// A new configuration takes effect whole, or the old one stays.
+    fn take_configuration(&mut self) {
+        let new = config::reload(&self.config).map_err(|e| e.to_string());
+        let moved = new.and_then(|new| {
+            // Of all steps only this one can fail: it comes first.
+            self.members.move_to(new.members).map_err(|e| format!("members: {e}"))?;
+            Ok(new)
+        });
+        match moved {
+            Err(problem) => {
+                self.counters.reloads_failed += 1;
+                say(&format!("{problem}; the old configuration stays"));
+            }
+            Ok(new) => {
+                self.counters.reloads += 1;
+                if self.kernel.move_to(new.kernel) {
+                    self.report(Report::Link(false));
+                }
+                self.store.move_to(new.store);
+                self.config = new;
+                say("the new configuration is in effect");
+            }
+        }
+    }
+
     // ---- Connections of gateways ---------------------------------------------------------------------
 
     fn take_conn(&mut self, id: ConnId, readable: bool) {
@@ -424,32 +462,42 @@
         if !(good && deep) {
             return self.answer_check(conn, fcgi, keeps, good);
         }
-        if !self.kernel.is_linked() {
-            return self.answer_check(conn, fcgi, keeps, false);
-        }
         if let Some(c) = self.table.get(conn) {
             c.open.insert(fcgi, Open::Check(keeps));
         }
-        self.counters.posts_sent += 1;
-        let ticket = self.kernel.post();
-        self.checks.insert(ticket, Check { conn, fcgi, since: self.clock.now() });
+        self.checks.push(Check { conn, fcgi, since: self.clock.now(), asked: None });
     }
 
-    fn end_check(&mut self, ticket: u64, good: bool) {
-        let Some(check) = self.checks.remove(&ticket) else { return };
+    /// The kernel has answered one.
+    fn posted(&mut self, ticket: u64, good: bool) {
+        let at = self.checks.iter().position(|c| c.asked.is_some_and(|a| a.0 == ticket));
+        if let Some(at) = at {
+            let check = self.checks.swap_remove(at);
+            self.end_check(&check, good);
+        }
+    }
+
+    fn end_check(&mut self, check: &Check, good: bool) {
         let open = self.table.get(check.conn).and_then(|c| c.open.remove(&check.fcgi));
         if let Some(open) = open {
             self.answer_check(check.conn, check.fcgi, open.keeps(), good);
         }
     }
 
-    /// Ends checks that the kernel does not answer; all of them where its link is down.
-    fn end_checks(&mut self) {
-        let (now, linked) = (self.clock.now(), self.kernel.is_linked());
-        let over = self.checks.iter().filter(|(_, c)| !linked || now.since(c.since) >= CHECK);
-        for ticket in over.map(|(ticket, _)| *ticket).collect::<Vec<_>>() {
-            self.end_check(ticket, false);
-        }
+    /// Asks the kernel for the work of checks, again after a new link; ends those that it does not answer.
+    fn post_checks(&mut self) {
+        let now = self.clock.now();
+        let (over, mut open): (Vec<Check>, Vec<Check>) =
+            mem::take(&mut self.checks).into_iter().partition(|c| now.since(c.since) >= CHECK);
+        let link = self.kernel.link_number();
+        // Guards against a check that fails as the link breaks for a moment: the work still gets done.
+        let linked = self.kernel.is_linked();
+        for check in open.iter_mut().filter(|c| linked && c.asked.is_none_or(|a| a.1 != link)) {
+            check.asked = Some((self.kernel.post(), link));
+            self.counters.posts_sent += 1;
+        }
+        self.checks = open;
+        over.iter().for_each(|check| self.end_check(check, false));
     }
 
     fn answer_check(&mut self, conn: ConnId, fcgi: u16, keeps: bool, good: bool) {
@@ -489,7 +537,7 @@
                     let gauges = self.kernel.gauges(&figures);
                     self.report(Report::Gauged(gauges));
                 }
-                Notice::Posted(ticket, good) => self.end_check(ticket, good),
+                Notice::Posted(ticket, good) => self.posted(ticket, good),
                 Notice::Invalid(Command::Sched, Some(id)) => self.report(Report::Ended(id, RunEnd::NeverRan)),
                 Notice::Invalid(..) | Notice::Dmesg => {}
             }
@@ -502,29 +550,12 @@
         }
     }
 
-    fn take_store(&mut self, readable: bool, writable: bool) {
-        let now = self.clock.now();
-        if let Some(change) = self.store.ready(now, readable, writable, &mut self.counters) {
-            self.store_changed(change);
-        }
-        while let Some((id, word, lag)) = self.store.next(now, &mut self.counters) {
-            let end = match word {
-                Word::Ok(reply) => {
-                    self.kernel.io_done(id, &reply);
-                    CallEnd::Good
-                }
-                Word::Busy => CallEnd::Busy,
-                Word::Err => CallEnd::Failed,
-                Word::Late => CallEnd::Late,
-                Word::Void => continue,
-            };
-            self.report(Report::Called(id, end, lag));
-        }
-    }
-
-    fn store_changed(&mut self, change: Change) {
-        for (id, end, lag) in self.store.changed(self.clock.now(), change) {
-            self.report(Report::Called(id, end, lag));
+    fn calls_ended(&mut self, calls: Vec<Ended>) {
+        for call in calls {
+            if let Some(reply) = &call.reply {
+                self.kernel.io_done(call.id, reply);
+            }
+            self.report(Report::Called(call.id, call.end, call.lag));
         }
     }
 
@@ -577,7 +608,10 @@
                     let done = self.answer(id, "200 OK", Micros(0), false, result);
                     self.counters.answers_replayed += u64::from(done);
                 }
-                Verdict::Forget(id) => drop(self.tries.remove(&id)),
+                Verdict::Forget(id) => {
+                    self.tries.remove(&id);
+                    self.store.forget(id);
+                }
                 Verdict::Gauge => {
                     self.kernel.ask();
                     self.counters.gauges_sent += 1;
