End what is only begun within 1.5 s, and keep bad clients off the gateways' time

Counters by SIGUSR1 after 20 s: requests_bad 4,392 to 5,774 a node beside 2,372 to 3,285 requests read, so nearly all were the same bad request sent again at once. At fault: STALLED (10 s, from the last progress) was the only bound on half requests, and the idle limit (30 s) on silent connections; a body over the limit was answered at its end (Incoming::finish). Ruled out: descriptors (no accept pause), answers (all written). Now begun things end after 1.5 s, faults are answered when they are seen, four bad requests in a row end a connection after 250 ms unread, and the read buffer is one for all connections, no longer zeroed for each read.

--- a/src/node/accept.rs
+++ b/src/node/accept.rs
@@ -18,11 +18,27 @@
 const OWN: usize = 20;
 /// Most bytes read from one connection in one go, so that none keeps the others waiting.
 const CHUNK: usize = 16 * 1024;
+/// Room for that behind part of a record.
+const BUFFER: usize = CHUNK + fastcgi::LONGEST;
 /// Most bytes that wait to be read by the other side: all answers that a connection can have open.
 const MOST_OUT: usize = 192 * 1024;
-/// A connection whose other side neither reads what waits nor sends the rest of a request for this long is
-/// cut off.
+/// A connection whose other side does not read what waits for this long is cut off.
 const STALLED: Micros = Micros::millis(10_000);
+/// What has been begun (a connection, a record, a request) and is not whole by then is ended: whoever sends
+/// such is owed an end within 3 s.
+const UNFINISHED: Micros = Micros::millis(1_500);
+/// So many bad requests in a row, with none between that was good for something, end a connection.
+const MOST_FAULTS: u32 = 4;
+/// It is closed after this long, in which nothing more is read of it. Guards against clients that send the same
+/// again at once, here or on a new connection: answering each would take the time of the gateways.
+const LINGER: Micros = Micros::millis(250);
+/// A connection that has asked for nothing may be as old as this before it has to make room for others.
+const NEW: Micros = Micros::millis(100);
+/// Most connections that are looked at to find one that can make room.
+const MOST_LOOKS: usize = 8;
+/// Most bytes of records that belong to no open request, between two whole ones: more come from a client that
+/// does not heed the end of its request.
+const MOST_STRAY: usize = 64 * 1024;
 /// Most open requests on a connection, as gateways are told.
 pub const MOST_OPEN: usize = 32;
 /// Time between two looks for idle and stalled connections.
@@ -31,8 +47,8 @@
 /// An open request of a connection.
 #[derive(Debug)]
 pub enum Open {
-    /// Its records come in.
-    Incoming(Box<Incoming>, bool),
+    /// Its records come in, since then.
+    Incoming(Box<Incoming>, bool, Micros),
     /// Read; the answer is owed.
     Owed(RequestId, bool),
     /// A health check that waits for the kernel.
@@ -43,11 +59,16 @@
     /// Whether the connection stays after this request.
     pub fn keeps(&self) -> bool {
         match self {
-            Open::Incoming(_, keeps) | Open::Owed(_, keeps) | Open::Check(keeps) => *keeps,
+            Open::Incoming(_, keeps, _) | Open::Owed(_, keeps) | Open::Check(keeps) => *keeps,
         }
     }
 }
 
+/// A buffer for [`Conn::read`].
+pub fn buffer() -> Vec<u8> {
+    vec![0; BUFFER]
+}
+
 /// One connection of a gateway.
 #[derive(Debug)]
 pub struct Conn {
@@ -57,8 +78,19 @@
     pub output: Outbox,
     /// Its open requests, by FastCGI id.
     pub open: BTreeMap<u16, Open>,
-    /// Last time that anything was read or written.
+    /// When it was accepted, and when anything was last read or written.
+    since: Micros,
     used: Micros,
+    /// Since when its input ends in part of a record.
+    partial: Option<Micros>,
+    /// A whole request that could be read has come on it.
+    asked: bool,
+    /// Bad requests since the last one that was good for something.
+    faults: u32,
+    /// Bytes of records that belong to no open request, since the last whole request.
+    stray: usize,
+    /// It is closed then, once all is written.
+    linger: Option<Micros>,
     /// Nothing more is read: the other side has ended, or the framing is lost.
     deaf: bool,
     /// To be closed once all is written.
@@ -91,6 +123,15 @@
     next_look: Micros,
 }
 
+/// What a look at all connections has found.
+#[derive(Debug, Default)]
+pub struct Look {
+    /// Requests that were owed an answer on connections that are gone.
+    pub gone: Vec<RequestId>,
+    /// Requests of which the rest does not come.
+    pub unfinished: Vec<(ConnId, u16)>,
+}
+
 impl Table {
     /// Listens at the address, within this many descriptors besides those of the store's connections.
     pub fn listen(
@@ -180,7 +221,13 @@
             input: Vec::new(),
             output: Outbox::default(),
             open: BTreeMap::new(),
+            since: now,
             used: now,
+            partial: None,
+            asked: false,
+            faults: 0,
+            stray: 0,
+            linger: None,
             deaf: false,
             last: false,
             serial: self.serial,
@@ -224,24 +271,34 @@
     }
 
     fn close_longest_idle(&mut self, now: Micros, counters: &mut Counters) -> bool {
-        // Of those accepted at the same time the oldest goes: never the one that has just come.
-        let idle = self.idle_conns().min_by_key(|(id, used)| (*used, id.serial)).map(|(id, _)| id);
-        idle.is_some_and(|id| self.close_idle_one(now, id, counters))
+        // Of those accepted at the same time the oldest goes: never the one that has just come. The ones that are
+        // to end anyway go first, then those that have asked for nothing: gateways connect when they have
+        // something to send.
+        let order = |c: &Conn| match (c.deaf, c.asked || now.since(c.since) < NEW) {
+            (true, _) => 0,
+            (false, false) => 1,
+            (false, true) => 2,
+        };
+        (0..MOST_LOOKS).any(|_| {
+            let idle =
+                self.idle_conns().min_by_key(|(id, c)| (order(c), c.used, id.serial)).map(|(id, _)| id);
+            idle.is_some_and(|id| self.close_idle_one(now, id, counters))
+        })
     }
 
-    fn idle_conns(&self) -> impl Iterator<Item = (ConnId, Micros)> + '_ {
+    fn idle_conns(&self) -> impl Iterator<Item = (ConnId, &Conn)> + '_ {
         let conns = self.conns.iter().enumerate();
         conns
             .filter_map(|(place, c)| c.as_ref().map(|c| (place, c)))
             .filter(|(_, c)| c.is_idle())
-            .map(|(place, c)| (ConnId { place, serial: c.serial }, c.used))
+            .map(|(place, c)| (ConnId { place, serial: c.serial }, c))
     }
 
     /// Closes a connection with nothing under way, unless something came on it just now.
     fn close_idle_one(&mut self, now: Micros, id: ConnId, counters: &mut Counters) -> bool {
         // Guards against closing on a request that has been written but not read: it would be lost.
         let Some(conn) = self.get(id) else { return false };
-        if conn.has_unread() {
+        if !conn.deaf && conn.has_unread() {
             conn.used = now;
             return false;
         }
@@ -250,26 +307,59 @@
         true
     }
 
-    /// Closes what was idle for too long, and cuts off what does not read; returns requests owed there.
-    pub fn tick(&mut self, now: Micros, counters: &mut Counters) -> Vec<RequestId> {
+    /// Closes what was idle for too long, cuts off what does not read, and ends what was only begun.
+    pub fn tick(&mut self, now: Micros, counters: &mut Counters) -> Look {
+        let mut look = Look::default();
         if now < self.next_look {
-            return Vec::new();
+            return look;
         }
         self.next_look = now.plus(LOOK);
         self.listen_for(true);
         if let Some(idle) = self.idle {
             let old: Vec<ConnId> =
-                self.idle_conns().filter(|(_, u)| now.since(*u) >= idle).map(|c| c.0).collect();
+                self.idle_conns().filter(|(_, c)| now.since(c.used) >= idle).map(|c| c.0).collect();
             for id in old {
                 self.close_idle_one(now, id, counters);
             }
         }
-        let stalled = |c: &Conn| c.waits_for_peer() && now.since(c.used) >= STALLED;
-        let conns = self.conns.iter().enumerate().filter_map(|(place, c)| c.as_ref().map(|c| (place, c)));
-        let cut: Vec<ConnId> =
-            conns.filter(|(_, c)| stalled(c)).map(|(place, c)| ConnId { place, serial: c.serial }).collect();
+        let (mut cut, mut over) = (Vec::new(), Vec::new());
+        for (place, conn) in self.conns.iter_mut().enumerate() {
+            let Some(conn) = conn else { continue };
+            let id = ConnId { place, serial: conn.serial };
+            look.unfinished.extend(conn.unfinished(now).map(|fcgi| (id, fcgi)));
+            if conn.is_stalled(now) {
+                cut.push(id);
+            } else if conn.is_silent(now) {
+                over.push(id);
+            } else if conn.linger.is_some_and(|end| now >= end) {
+                // What is owed on it is still answered, and ends it.
+                conn.linger = None;
+                if conn.is_over() && conn.output.len() == 0 {
+                    over.push(id);
+                }
+            } else if conn.partial.is_some_and(|since| now.since(since) >= UNFINISHED) {
+                // The rest of the record does not come; what is owed is still answered.
+                counters.framing_lost += 1;
+                if conn.stop_reading().is_err() || conn.open.is_empty() {
+                    over.push(id);
+                }
+            }
+        }
         counters.connections_cut += cut.len() as u64;
-        cut.into_iter().flat_map(|id| self.close(id)).collect()
+        counters.connections_ended += over.len() as u64;
+        look.gone = cut.into_iter().chain(over).flat_map(|id| self.close(id)).collect();
+        look
+    }
+
+    /// Counts a bad request on a connection, and ends the connection if there were too many.
+    pub fn fault(&mut self, now: Micros, id: ConnId, all: bool) {
+        let Some(conn) = self.get(id) else { return };
+        conn.faults += 1;
+        if (all || conn.faults >= MOST_FAULTS) && conn.linger.is_none() {
+            conn.linger = Some(now.plus(LINGER));
+            // If the poller cannot be told so, what comes is read and dropped until the end.
+            let _ = conn.stop_reading();
+        }
     }
 
     /// Writes what the turn has queued, and closes what is done; returns requests owed on what broke.
@@ -279,7 +369,7 @@
             let Some(conn) = self.get(id) else { continue };
             let written = conn.write(now);
             let cut = conn.output.len() > MOST_OUT;
-            let done = conn.output.len() == 0 && (conn.last || conn.deaf && conn.open.is_empty());
+            let done = conn.output.len() == 0 && (conn.last || conn.is_over());
             counters.connections_cut += u64::from(cut);
             if written.is_err() || cut || done {
                 gone.extend(self.close(id));
@@ -296,18 +386,59 @@
 
 impl Conn {
     /// Opens a request, or ends it at once where that cannot be done: it never ran.
-    pub fn begin(&mut self, id: u16, content: &[u8]) {
+    pub fn begin(&mut self, now: Micros, id: u16, content: &[u8]) {
         let opened = match fastcgi::begin(content) {
             Some((fastcgi::RESPONDER, _)) if self.open.len() >= MOST_OPEN => Err(status::OVERLOADED),
             Some((fastcgi::RESPONDER, flags)) => Ok(flags & fastcgi::KEEP_CONN != 0),
             _ => Err(status::UNKNOWN_ROLE),
         };
         match opened {
-            Ok(keeps) => drop(self.open.insert(id, Open::Incoming(Box::default(), keeps))),
+            Ok(keeps) => drop(self.open.insert(id, Open::Incoming(Box::default(), keeps, now))),
             Err(status) => self.output.push(fastcgi::end_request(id, 0, status)),
         }
     }
 
+    /// Whether nothing more is read of it.
+    pub fn is_deaf(&self) -> bool {
+        self.deaf
+    }
+
+    /// Takes note of a whole request that could be read.
+    pub fn note_asked(&mut self) {
+        (self.asked, self.stray) = (true, 0);
+    }
+
+    /// Takes note of a request that was good for something.
+    pub fn note_good(&mut self) {
+        self.faults = 0;
+    }
+
+    /// Takes note of a record that belongs to no open request; false if there were too many.
+    pub fn note_stray(&mut self, bytes: usize) -> bool {
+        self.stray += bytes;
+        self.stray <= MOST_STRAY
+    }
+
+    /// Nothing is read of it, nothing is open, and it does not linger.
+    fn is_over(&self) -> bool {
+        self.deaf && self.open.is_empty() && self.linger.is_none()
+    }
+
+    /// Nothing has been asked on it, and nothing is on its way.
+    fn is_silent(&self, now: Micros) -> bool {
+        !self.asked && self.is_idle() && now.since(self.since) >= UNFINISHED && !self.has_unread()
+    }
+
+    fn is_stalled(&self, now: Micros) -> bool {
+        self.output.len() > 0 && now.since(self.used) >= STALLED
+    }
+
+    /// Requests of which the rest does not come.
+    fn unfinished(&self, now: Micros) -> impl Iterator<Item = u16> + '_ {
+        let late = move |open: &Open| matches!(open, Open::Incoming(_, _, t) if now.since(*t) >= UNFINISHED);
+        self.open.iter().filter(move |(_, open)| late(open)).map(|(id, _)| *id)
+    }
+
     /// Whether an event of the poller can only mean that the other side has reset it.
     pub fn is_dead(&self) -> bool {
         self.deaf && self.output.len() == 0
@@ -317,60 +448,51 @@
         self.open.is_empty() && self.output.len() == 0 && self.input.is_empty()
     }
 
-    /// Whether only the other side can go on: it has answers to read, or half a request to send.
-    fn waits_for_peer(&self) -> bool {
-        let owed = self.open.values().any(|o| !matches!(o, Open::Incoming(..)));
-        self.output.len() > 0 || !owed && !self.is_idle()
-    }
-
     fn has_unread(&self) -> bool {
         matches!(self.stream.peek(&mut [0]), Ok(n) if n > 0)
     }
 
-    /// Reads what is there, up to a bound; an error means that the connection is gone.
-    pub fn read(&mut self, now: Micros) -> io::Result<()> {
+    /// Reads what is there, up to a bound, behind what was left of the input before; returns the length of all
+    /// of it. An error means that the connection is gone.
+    pub fn read(&mut self, now: Micros, buffer: &mut [u8]) -> io::Result<usize> {
+        let from = self.input.len();
+        buffer[..from].copy_from_slice(&self.input);
         if self.deaf {
-            return Ok(());
+            return Ok(0);
         }
-        let from = self.input.len();
-        self.input.resize(from + CHUNK, 0);
         let read = loop {
-            match self.stream.read(&mut self.input[from..]) {
+            match self.stream.read(&mut buffer[from..from + CHUNK]) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 other => break other,
             }
         };
-        self.input.truncate(from + *read.as_ref().unwrap_or(&0));
         match read {
             // The other side has ended, but may still read: what is owed is answered first.
-            Ok(0) => self.stop_reading(),
-            Ok(_) => {
+            Ok(0) => self.stop_reading().map(|()| 0),
+            Ok(n) => {
                 self.used = now;
-                Ok(())
+                Ok(from + n)
             }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(from),
             Err(e) => Err(e),
         }
     }
 
     /// Reads nothing more; what is owed is still answered.
     pub fn stop_reading(&mut self) -> io::Result<()> {
-        self.deaf = true;
+        (self.deaf, self.partial) = (true, None);
         self.input = Vec::new();
         self.open.retain(|_, o| !matches!(o, Open::Incoming(..)));
         self.stream.watch(false, self.output.len() > 0)
     }
 
-    /// Takes the input that was read, for its records to be parsed where they lie; [`Conn::put_back`] takes
-    /// what is left of it.
-    pub fn take_input(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.input)
-    }
-
-    /// The part of a record at the end of the input.
-    pub fn put_back(&mut self, rest: &[u8]) {
+    /// Keeps the part of a record at the end of the input; `whole` if whole ones came before it.
+    pub fn keep(&mut self, now: Micros, rest: &[u8], whole: bool) {
         if !self.deaf {
-            self.input = rest.to_vec();
+            self.input.clear();
+            self.input.extend_from_slice(rest);
+            let since = self.partial.filter(|_| !whole).unwrap_or(now);
+            self.partial = Some(since).filter(|_| !rest.is_empty());
         }
     }
 
--- a/src/node/fastcgi.rs
+++ b/src/node/fastcgi.rs
@@ -6,6 +6,8 @@
 pub const VERSION: u8 = 1;
 /// Length of a record's header.
 pub const HEADER: usize = 8;
+/// Longest record: header, content and padding.
+pub const LONGEST: usize = HEADER + 0xffff + 0xff;
 
 /// Record types.
 pub mod kind {
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -6,6 +6,8 @@
 
 /// Longest body.
 pub const MOST_BODY: usize = 2048;
+/// Most bytes of parameters.
+const MOST_PARAMS: usize = 16 * 1024;
 /// Longest name-value pair that may lie across records; longer ones must come in one piece.
 const MOST_PAIR: usize = 4096;
 
@@ -22,6 +24,8 @@
     TooLong,
     /// The key of a request with another body.
     Conflict,
+    /// The rest of it does not come.
+    Unfinished,
 }
 
 impl Fault {
@@ -33,6 +37,7 @@
             Fault::Method => "405 Method Not Allowed",
             Fault::TooLong => "413 Content Too Large",
             Fault::Conflict => "409 Conflict",
+            Fault::Unfinished => "408 Request Timeout",
         }
     }
 }
@@ -88,6 +93,7 @@
     params: Params,
     /// The start of a pair whose rest lies in the next record.
     carry: Vec<u8>,
+    params_size: usize,
     params_ended: bool,
     body: Vec<u8>,
     fault: Option<Fault>,
@@ -176,6 +182,7 @@
 impl Incoming {
     /// The content of a PARAMS record; an empty one ends the parameters.
     pub fn params(&mut self, content: &[u8]) {
+        self.params_size += content.len();
         if content.is_empty() {
             if !self.carry.is_empty() {
                 self.fail(Fault::Malformed("a parameter cut short"));
@@ -191,7 +198,7 @@
             joined.extend(content);
             self.carry = self.pairs(&joined).to_vec();
         }
-        if self.carry.len() > MOST_PAIR {
+        if self.carry.len() > MOST_PAIR || self.params_size > MOST_PARAMS {
             self.fail(Fault::TooLong);
         }
         if self.fault.is_some() {
@@ -211,6 +218,15 @@
         rest
     }
 
+    /// The content of a STDIN record, or else of a PARAMS record; returns true if it ends the request.
+    pub fn take(&mut self, stdin: bool, content: &[u8]) -> bool {
+        if stdin {
+            return self.stdin(content);
+        }
+        self.params(content);
+        false
+    }
+
     /// The content of a STDIN record; returns true if it ends the request.
     pub fn stdin(&mut self, content: &[u8]) -> bool {
         if self.body.len() + content.len() > MOST_BODY {
@@ -221,6 +237,11 @@
         content.is_empty()
     }
 
+    /// What is wrong with it so far: it is answered without waiting for its end.
+    pub fn fault(&self) -> Option<Fault> {
+        self.fault
+    }
+
     fn fail(&mut self, fault: Fault) {
         self.fault.get_or_insert(fault);
     }
--- a/src/node/turn.rs
+++ b/src/node/turn.rs
@@ -1,6 +1,6 @@
 //! The loop: one turn takes in what the poller has, asks the facade, carries out its verdicts and writes.
 
-use super::accept::{ConnId, MOST_OPEN, Open, Table};
+use super::accept::{self, ConnId, MOST_OPEN, Open, Table};
 use super::answer::Response;
 use super::clock::Clock;
 use super::config::Config;
@@ -10,7 +10,7 @@
 use super::link::Change;
 use super::members::Members;
 use super::poll::Watched;
-use super::request::{Asked, Fault, Incoming, TryParams};
+use super::request::{Asked, Fault, TryParams};
 use super::store::{self, Ended, Store};
 use super::{config, say};
 use gaugestand::facade::{Arrival, Facade, Micros, Report, RunEnd, Unfit, Verdict};
@@ -91,6 +91,8 @@
     clock: Clock,
     poller: Rc<Poller>,
     table: Table,
+    /// What was read of one connection, for its records to be parsed where they lie.
+    buffer: Vec<u8>,
     kernel: Kernel,
     store: Store,
     members: Members,
@@ -137,6 +139,7 @@
             config,
             poller,
             table,
+            buffer: accept::buffer(),
             facade,
         })
     }
@@ -185,8 +188,11 @@
         let ended = self.store.tick(now, &mut self.counters);
         self.calls_ended(ended);
         self.post_checks();
-        let gone = self.table.tick(now, &mut self.counters);
-        self.connections_gone(gone);
+        let look = self.table.tick(now, &mut self.counters);
+        self.connections_gone(look.gone);
+        for (conn, fcgi) in look.unfinished {
+            self.fail_unread(conn, fcgi, Fault::Unfinished);
+        }
         let mut verdicts = Vec::new();
         let mut wake = vec![self.facade.tick(now, &mut verdicts)];
         self.carry_out(verdicts);
@@ -302,11 +308,21 @@
     fn take_conn(&mut self, id: ConnId, readable: bool) {
         let now = self.clock.now();
         let Some(conn) = self.table.get(id) else { return };
-        if conn.is_dead() || readable && conn.read(now).is_err() {
-            let gone = self.table.close(id);
-            return self.connections_gone(gone);
+        let mut buffer = mem::take(&mut self.buffer);
+        let read = if conn.is_dead() { Err(io::ErrorKind::ConnectionReset.into()) } else { Ok(()) };
+        let read = read.and_then(|()| if readable { conn.read(now, &mut buffer) } else { Ok(0) });
+        match read {
+            Ok(0) => self.table.touch(id),
+            Ok(n) => self.take_input(id, &buffer[..n]),
+            Err(_) => {
+                let gone = self.table.close(id);
+                self.connections_gone(gone);
+            }
         }
-        let input = conn.take_input();
+        self.buffer = buffer;
+    }
+
+    fn take_input(&mut self, id: ConnId, input: &[u8]) {
         let mut at = 0;
         let framed = loop {
             match fastcgi::record(&input[at..]) {
@@ -315,15 +331,19 @@
                     if !self.take_record(id, record) {
                         break false;
                     }
+                    if self.table.get(id).is_none_or(|c| c.is_deaf()) {
+                        break true;
+                    }
                 }
                 Ok(None) => break true,
                 Err(_) => break false,
             }
         };
         self.table.touch(id);
+        let now = self.clock.now();
         let Some(conn) = self.table.get(id) else { return };
         if framed {
-            return conn.put_back(&input[at..]);
+            return conn.keep(now, &input[at..], at > 0);
         }
         // Nothing that follows can be trusted; what came before is still answered.
         self.counters.framing_lost += 1;
@@ -335,13 +355,19 @@
 
     /// Takes in one record; false if what follows cannot be told apart from it.
     fn take_record(&mut self, conn: ConnId, record: Record<'_>) -> bool {
-        let (id, content) = (record.id, record.content);
+        let (now, id, content) = (self.clock.now(), record.id, record.content);
         let Some(c) = self.table.get(conn) else { return false };
         match (record.kind, c.open.get_mut(&id)) {
             (kind::BEGIN_REQUEST, Some(_)) => return false,
-            (kind::BEGIN_REQUEST, None) => c.begin(id, content),
-            (kind::PARAMS, Some(Open::Incoming(incoming, _))) => incoming.params(content),
-            (kind::STDIN, Some(Open::Incoming(..))) => self.take_stdin(conn, id, content),
+            (kind::BEGIN_REQUEST, None) => c.begin(now, id, content),
+            (kind::PARAMS | kind::STDIN, Some(Open::Incoming(incoming, ..))) => {
+                let whole = incoming.take(record.kind == kind::STDIN, content);
+                match incoming.fault() {
+                    Some(fault) => self.fail_unread(conn, id, fault),
+                    None if whole => self.take_request(conn, id),
+                    None => {}
+                }
+            }
             (kind::ABORT_REQUEST, Some(_)) => self.abort(conn, id),
             (kind::GET_VALUES, _) if id == 0 => {
                 let known = [("FCGI_MAX_REQS", MOST_OPEN.to_string()), ("FCGI_MPXS_CONNS", "1".to_string())];
@@ -349,23 +375,28 @@
             }
             (other, _) if id == 0 => c.output.push(fastcgi::unknown_type(other)),
             // Of a request that is over, or one that was never begun: the protocol has them ignored.
-            _ => {}
+            _ => return c.note_stray(content.len()),
         }
         true
     }
 
-    fn take_stdin(&mut self, conn: ConnId, fcgi: u16, content: &[u8]) {
-        let Some(c) = self.table.get(conn) else { return };
-        let Some(Open::Incoming(incoming, keeps)) = c.open.get_mut(&fcgi) else { return };
-        if incoming.stdin(content) {
-            let (incoming, keeps) = (mem::take(incoming), *keeps);
-            c.open.remove(&fcgi);
-            self.take_request(conn, fcgi, keeps, *incoming);
+    /// Fails a request that is not whole.
+    fn fail_unread(&mut self, conn: ConnId, fcgi: u16, fault: Fault) {
+        let open = self.table.get(conn).and_then(|c| c.open.remove(&fcgi));
+        if let Some(open) = open {
+            self.bad(conn, fcgi, open.keeps(), fault);
         }
     }
 
-    fn take_request(&mut self, conn: ConnId, fcgi: u16, keeps: bool, incoming: Incoming) {
-        match incoming.finish(&self.config.classes, &self.config.keyed) {
+    /// All of a request is there.
+    fn take_request(&mut self, conn: ConnId, fcgi: u16) {
+        let open = self.table.get(conn).and_then(|c| c.open.remove(&fcgi));
+        let Some(Open::Incoming(incoming, keeps, _)) = open else { return };
+        let asked = incoming.finish(&self.config.classes, &self.config.keyed);
+        if let (Ok(_), Some(c)) = (&asked, self.table.get(conn)) {
+            c.note_asked();
+        }
+        match asked {
             Ok((Asked::Check(deep), _)) => self.check(conn, fcgi, keeps, deep),
             Ok((Asked::Try(t), body)) => self.pick(conn, fcgi, keeps, *t, body),
             Err(fault) => self.bad(conn, fcgi, keeps, fault),
@@ -403,6 +434,8 @@
         self.counters.requests_bad += 1;
         let capacity = self.facade.capacity();
         self.respond(conn, fcgi, keeps, &Response::plain(fault.status(), capacity));
+        // Of what is too long the rest need not be taken in.
+        self.table.fault(self.clock.now(), conn, fault == Fault::TooLong);
     }
 
     /// The gateway waits no longer. The answer ends the request, so that its number can be used again; if one
@@ -449,6 +482,9 @@
             self.counters.answers_unsent += 1;
             return false;
         };
+        if let (true, Some(c)) = (status.starts_with("200"), self.table.get(conn)) {
+            c.note_good();
+        }
         let capacity = self.facade.capacity();
         self.respond(conn, fcgi, open.keeps(), &Response { status, capacity, throttle, give_up, body });
         true
@@ -538,7 +574,13 @@
                     self.report(Report::Gauged(gauges));
                 }
                 Notice::Posted(ticket, good) => self.posted(ticket, good),
-                Notice::Invalid(Command::Sched, Some(id)) => self.report(Report::Ended(id, RunEnd::NeverRan)),
+                Notice::Invalid(Command::Sched, Some(id)) => {
+                    // Nobody but a client that makes ids up asks for what the kernel does not know.
+                    if let Some(conn) = self.tries.get(&id).map(|place| place.conn) {
+                        self.table.fault(now, conn, false);
+                    }
+                    self.report(Report::Ended(id, RunEnd::NeverRan));
+                }
                 Notice::Invalid(..) | Notice::Dmesg => {}
             }
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -314,7 +314,6 @@
 #[test]
 fn what_cannot_be_read_fails_alone_and_is_counted() {
     let (mut scene, mut kernel) = Scene::up();
-    let mut gateway = scene.gateway();
     let long = "x".repeat(2049);
     type Case<'a> = (&'a str, &'a [(&'a str, &'a str)], &'a str, &'a str);
     let cases: [Case; 9] = [
@@ -329,9 +328,11 @@
         ("quote", &[], &long, "413"),
     ];
     for (class, changes, body, status) in cases {
+        let mut gateway = scene.gateway();
         gateway.send(&try_records(4, class, A, changes, body.as_bytes()));
         assert_eq!(&gateway.answer().status[..3], status, "{class} {changes:?}");
     }
+    let mut gateway = scene.gateway();
     // A role that is not spoken here, and a record of the connection that is not known.
     gateway.send(&record(1, 4, &[0, 9, 1, 0, 0, 0, 0, 0]));
     assert_eq!(gateway.answer().protocol_status, 3);
@@ -694,3 +695,86 @@
     assert_eq!(kernel.expect("IODONE", A), b"2");
     assert!(scene.counter("replies_unasked") >= 1);
 }
+
+// Guards against clients that hold connections, memory or the gateways' time: each is owed an end within 3 s.
+#[test]
+fn what_is_only_begun_is_ended_in_time_and_costs_the_gateways_nothing() {
+    let (mut scene, mut kernel) = Scene::up();
+    let began = std::time::Instant::now();
+    let mut silent = scene.gateway();
+    let mut asked = scene.gateway();
+    asked.request(1, "quote", A, b"q");
+    kernel.expect("SCHED", A);
+    let mut half = scene.gateway();
+    let whole = try_records(1, "quote", B, &[], b"q");
+    half.send(&whole[..whole.len() - 8]);
+    let mut cut = scene.gateway();
+    cut.send(&[1, 5, 0, 1, 0xff, 0xff, 0, 0, 7]);
+    // It trickles: what it sends is no progress.
+    for n in 0..4 {
+        kernel.expect_nothing(25);
+        cut.send(&[n]);
+    }
+    assert_eq!(served(&half.answer()), (1, "408", &[][..]));
+    assert!(silent.is_closed());
+    assert!(cut.is_closed());
+    assert!(began.elapsed().as_millis() < 3_000, "{:?}", began.elapsed());
+    // One whose run takes longer than that stays.
+    kernel.reap(A, "good", b"r");
+    assert_eq!(served(&asked.answer()), (1, "200", &b"r"[..]));
+    assert_eq!((scene.counter("connections_ended"), scene.counter("framing_lost")), (2, 1));
+}
+
+// Guards against bodies and parameters without an end: the answer does not wait for it.
+#[test]
+fn what_is_too_long_is_answered_before_its_end_and_ends_its_connection() {
+    let (scene, mut kernel) = Scene::up();
+    let begin = record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    let whole = try_records(1, "quote", A, &[], &[0; 3000]);
+    let unending: Vec<u8> = (0..2000).flat_map(|_| pair("HTTP_X_NOVEL", "novel")).collect();
+    let params = [begin, record(4, 1, &unending)].concat();
+    for bytes in [&whole[..whole.len() - 8], &params] {
+        let mut client = scene.gateway();
+        client.send(bytes);
+        assert_eq!(served(&client.answer()), (1, "413", &[][..]));
+        assert!(client.is_closed());
+    }
+    // Nor does the record of a request that is over go on for ever.
+    let mut client = scene.gateway();
+    let stray = record(5, 1, &[0; 1000]);
+    assert!((0..100_000).any(|_| client.stream.write_all(&stray).is_err()));
+    kernel.expect_nothing(1);
+}
+
+// Guards against a client that sends the same again the moment it is turned away.
+#[test]
+fn bad_requests_in_a_row_end_a_connection_and_good_ones_between_do_not() {
+    let (scene, mut kernel) = Scene::up();
+    let mut client = scene.gateway();
+    for _ in 0..4 {
+        client.request(1, "unknown", A, &[]);
+        assert_eq!(&client.answer().status[..3], "404");
+    }
+    client.request(1, "unknown", A, &[]);
+    assert!(client.record().is_err(), "it is not answered any more");
+    // An id that the kernel does not know is such a request too.
+    let mut client = scene.gateway();
+    for n in 0..4 {
+        let id = format!("9b1f03aa5c7e2d6{n}");
+        client.request(1, "quote", &id, b"q");
+        kernel.expect("SCHED", &id);
+        kernel.say(json!({"event": "EINVAL", "fate": "SCHED", "handle": id}), false);
+        assert_eq!(served(&client.answer()), (1, "500", &[][..]));
+    }
+    assert!(client.is_closed());
+    let mut gateway = scene.gateway();
+    for n in 0..6 {
+        let id = format!("9b1f03aa5c7e2d7{n}");
+        gateway.request(1, "unknown", &id, b"q");
+        assert_eq!(&gateway.answer().status[..3], "404");
+        gateway.request(1, "quote", &id, b"q");
+        kernel.expect("SCHED", &id);
+        kernel.reap(&id, "good", b"r");
+        assert_eq!(served(&gateway.answer()), (1, "200", &b"r"[..]));
+    }
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -10,7 +10,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Longest that any test waits for anything: far beyond what it takes.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -233,8 +233,10 @@
 
     /// The next command that is no question for gauges; those are answered.
     pub fn command(&mut self) -> Value {
+        let began = Instant::now();
         loop {
             let command = self.any_command();
+            assert!(began.elapsed() < PATIENCE, "nothing but questions for gauges");
             if command["event"] != "SYSINFO" {
                 return command;
             }
