Let gateways use free places in the hold, and let the hold wait up to 0.3 of the aim

The cores were busy (so the allowance had no room for scatter) and the hold nearly empty: median 0.44 s, 99th percentile 1.4 s, of an aim of 3.7. At fault: signal() took room for scatter away as soon as the gauge read busy, and WAIT_SHARE (0.1) kept the hold at 0.37 s though an aim has room for three times that. Ruled out: refusals by nodes, the store. Now the room shrinks with the square of the part of the hold that is taken.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,7 +27,7 @@
 /// The core gauge reads busy from here (share of the cores). Ours.
 const BUSY: f64 = 0.9;
 /// Longest expected wait in the hold while the cores are busy, as a share of the mean aim. Ours.
-const WAIT_SHARE: f64 = 0.1;
+const WAIT_SHARE: f64 = 0.3;
 /// Fewest places in that line: scatter in arrivals and runs is a matter of their number, and few cores start
 /// few in a given time. Ours.
 const LINE: f64 = 4.0;
@@ -742,8 +742,7 @@
             out.push(Action::Run(id));
         }
         if self.est.busy >= BUSY {
-            let rate = self.cap / self.l();
-            let room = (rate * WAIT_SHARE * self.est.aim).max(LINE) as usize;
+            let (rate, room) = (self.cap / self.l(), self.room() as usize);
             while let Some(id) = self.least_worth() {
                 let Some(e) = self.requests.get(&id) else { break };
                 let wait = (self.hold.len() as f64 - 1.0) / rate + self.run_s(e.class, e.size);
@@ -755,6 +754,11 @@
         }
     }
 
+    /// Places in the hold while the cores are busy.
+    fn room(&self) -> f64 {
+        (self.cap / self.l() * WAIT_SHARE * self.est.aim).max(LINE)
+    }
+
     /// The held request to turn away first: least worth, newest, nobody waiting for it.
     fn least_worth(&self) -> Option<RequestId> {
         self.hold.iter().rev().map(|k| k.2).find(|id| self.requests.get(id).is_some_and(|e| !e.waited_for))
@@ -950,12 +954,15 @@
             Signal::Weight => open,
             // Where few callers hold what is in hand, each may have its part of twice the cap; where each
             // holds one at most, an allowance under one is a weight. A part of a few is a mean, about which
-            // what each sends scatters: while the cores have time and little is refused there is room for
-            // that, or callers turn away what this worker has cores for. Hurts as a wave begins.
+            // what each sends scatters: while little is refused there is room for that as far as the cores
+            // have time or the hold has places, or callers turn away what this worker could still take.
+            // Hurts as a wave begins.
             Signal::Allowance => {
                 let part = open * (2.0 * self.cap / self.est.senders.max(1.0)).max(1.0);
-                let roomy = self.est.busy < BUSY && self.est.refused_share < WAVE;
-                if roomy { part + SCATTER * part.sqrt() } else { part }
+                let taken = if self.est.busy < BUSY { 0.0 } else { self.hold.len() as f64 / self.room() };
+                let roomy = self.est.refused_share < WAVE;
+                let scatter = SCATTER * part.sqrt() * (1.0 - taken).max(0.0).powi(2);
+                if roomy { part + scatter } else { part }
             }
         };
         if (value - self.announced).abs() > 0.01 * self.announced.abs() {
