Offer a leaving node's room until the grace is over, while its health says no at once

The one that leaves said X-Capacity 0 from the moment of the notice, its successor was listed 5 s after the release began, and the rest had to carry all. At fault: Controller::leaving() counted the whole drain, though what comes within the grace may be run and answered. Ruled out: the new configuration itself (links move within one turn; windows without a release lose under 2%). Now leaving() begins with the end of the grace; checks fail and OUT is reported at once, as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -929,8 +929,10 @@
         self.est.ti * f64::from(self.s.fleet_size) > BEYOND * quotas
     }
 
+    /// Nothing that comes is of use here. Within the grace after the notice to leave it still is: callers hear
+    /// of the notice late, and who takes this worker's place is not listed yet.
     fn leaving(&self) -> bool {
-        self.drain.is_some() || self.struck() || self.est.swamped
+        self.drain.is_some_and(|(last, _)| self.now >= last) || self.struck() || self.est.swamped
     }
 
     fn stay_away(&self) -> Span {
@@ -942,7 +944,8 @@
         let leaving = self.leaving();
         // Where every list follows, a wave that swamps all would send each one's traffic to the rest and
         // back: there only what this worker knows of itself alone counts.
-        let good = !leaving || self.s.list_follows && self.beyond() && self.drain.is_none() && !self.struck();
+        let lone = self.drain.is_some() || self.struck();
+        let good = !lone && (!leaving || self.s.list_follows && self.beyond());
         if self.healthy != good {
             self.healthy = good;
             out.push(Action::Health { good, shallow: true });
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -719,6 +719,21 @@
     }
 }
 
+/// Callers hear of the notice late, and who takes its place is not listed yet: until the grace is over what
+/// comes is still run, so that nobody need be told to keep it away.
+#[test]
+fn a_worker_that_leaves_offers_its_room_until_the_grace_is_over() {
+    let mut h = Host::new(Settings { signal: Signal::Allowance, ..settings() });
+    h.gauges = Gauges { cpu_busy: Some(0.5), runnable: Some(1.0), ..Gauges::default() };
+    h.pass(400);
+    let out = h.step(vec![Event::Drain(h.now + Span::millis(4000))]);
+    assert!(out.contains(&Action::Health { good: false, shallow: true }));
+    let nothing_left = |out: &[Action]| out.contains(&Action::Announce(0.0));
+    assert!(!nothing_left(&out) && !nothing_left(&h.pass(800)));
+    assert!(h.arrive(request(1, 0)).contains(&Action::Run(id(1))));
+    assert!(nothing_left(&h.pass(600)));
+}
+
 #[test]
 fn a_run_that_cannot_be_stopped_is_answered_at_its_aim() {
     let mut s = settings();
