Give up a call that may be made again after eight mean calls, and make it again

At fault: make_calls() gave every call all the time up to the aim. Ruled out: the lanes (a quiet one takes no further call after a call ran out of time unheard), the store's LATE (never sent for these). Now a call of a class that is safe to repeat gets eight times the mean of late, twice that for each further one; keyed classes and the first calls wait as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,6 +46,8 @@
 /// Pause before a call that came to nothing is made again, as shares of the mean aim: the first, doubled each
 /// time, and the longest. Ours.
 const CALL_AGAIN: (f64, f64) = (0.0015, 0.1);
+/// A call that may be made again is given up after this many mean calls, and then made again. Ours.
+const PATIENCE: f64 = 8.0;
 /// No run ended for this many mean runs though the cores are full: the worker is struck. Ours.
 const STRUCK_RUNS: f64 = 4.0;
 /// Ticks between two timers. Ours.
@@ -869,6 +871,11 @@
             if in_hand > most || self.calls.mean > CALL_SHARE.0 * self.s.calls_out || longest < usual {
                 break;
             }
+            // One of which nothing is heard for long may never be answered: where it may be made again there
+            // is time for that. Each further one gets twice as long, so that slow calls still end.
+            let patience = PATIENCE * usual * 2f64.powi(e.calls_lost.min(16) as i32);
+            let again = self.s.classes[e.class].effect == Effect::Pure && self.calls.lag.is_some();
+            let longest = if again { longest.min(patience) } else { longest };
             let until = e.aim.max(self.now + self.s.tick).min(self.now + Span::from_secs(longest));
             if let Some(e) = self.requests.get_mut(&id) {
                 e.call_until = until;
@@ -929,8 +936,8 @@
         self.est.ti * f64::from(self.s.fleet_size) > BEYOND * quotas
     }
 
-    /// Nothing that comes is of use here. Within the grace after the notice to leave it still is: callers hear
-    /// of the notice late, and who takes this worker's place is not listed yet.
+    /// Nothing that comes is of use here. Within the grace after the notice to leave it still is: callers
+    /// hear of the notice late, and who takes this worker's place is not listed yet.
     fn leaving(&self) -> bool {
         self.drain.is_some_and(|(last, _)| self.now >= last) || self.struck() || self.est.swamped
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1011,3 +1011,31 @@
     }
     assert!((4..=10).contains(&made), "{made} calls in half an aim");
 }
+
+/// Guards against a reply that never comes: a call that may be made again gave all its time to wait for it.
+#[test]
+fn a_call_that_may_be_made_again_waits_a_few_mean_calls_and_twice_as_long_the_next_time() {
+    let mut host = Host::new(Settings { below: Below::Tier, ..settings() });
+    let wait = |host: &mut Host, event| {
+        let now = host.now;
+        let until = |a: &Action| match a {
+            Action::Call(_, until) => Some(*until - now),
+            _ => None,
+        };
+        host.step(vec![event]).iter().find_map(until).expect("a call is made")
+    };
+    let (aim, few) = (Span::millis(1000), Span::millis(80));
+    host.arrive(request(1, 0));
+    assert_eq!(wait(&mut host, Event::AtCall(id(1))), aim, "nothing is known yet");
+    host.step(vec![Event::Called(id(1), Outcome::Ok, Span::millis(10)), Event::Done(id(1), Outcome::Ok)]);
+    host.arrive(request(2, 0));
+    assert_eq!(wait(&mut host, Event::AtCall(id(2))), few);
+    host.step(vec![Event::Called(id(2), Outcome::TimedOut, Span::millis(10))]);
+    let again = host.pass(40).into_iter().find_map(|a| match a {
+        Action::Call(_, until) => Some(until),
+        _ => None,
+    });
+    assert!(again.expect("made again") - host.now > few, "{again:?}");
+    host.arrive(request(3, 1));
+    assert!(wait(&mut host, Event::AtCall(id(3))) > few, "a keyed one is made once");
+}
