--- a/src/node/accept.rs
+++ b/src/node/accept.rs
@@ -27,7 +27,8 @@
 /// What has been begun (a connection, a record, a request) and is not whole by then is ended: whoever sends
 /// such is owed an end within 3 s.
 const UNFINISHED: Micros = Micros::millis(1_500);
-/// So many bad requests in a row, with none between that was good for something, end a connection.
+/// So many bad requests end a connection on which nothing was ever served. One that was is a gateway's, and may
+/// have other requests on their way.
 const MOST_FAULTS: u32 = 4;
 /// It is closed after this long, in which nothing more is read of it. Guards against clients that send the same
 /// again at once, here or on a new connection: answering each would take the time of the gateways.
@@ -85,8 +86,9 @@
     partial: Option<Micros>,
     /// A whole request that could be read has come on it.
     asked: bool,
-    /// Bad requests since the last one that was good for something.
+    /// Bad requests, and whether any request was served.
     faults: u32,
+    served: bool,
     /// Bytes of records that belong to no open request, since the last whole request.
     stray: usize,
     /// It is closed then, once all is written.
@@ -226,6 +228,7 @@
             partial: None,
             asked: false,
             faults: 0,
+            served: false,
             stray: 0,
             linger: None,
             deaf: false,
@@ -355,7 +358,7 @@
     pub fn fault(&mut self, now: Micros, id: ConnId, all: bool) {
         let Some(conn) = self.get(id) else { return };
         conn.faults += 1;
-        if (all || conn.faults >= MOST_FAULTS) && conn.linger.is_none() {
+        if (all || !conn.served && conn.faults >= MOST_FAULTS) && conn.linger.is_none() {
             conn.linger = Some(now.plus(LINGER));
             // If the poller cannot be told so, what comes is read and dropped until the end.
             let _ = conn.stop_reading();
@@ -408,9 +411,9 @@
         (self.asked, self.stray) = (true, 0);
     }
 
-    /// Takes note of a request that was good for something.
-    pub fn note_good(&mut self) {
-        self.faults = 0;
+    /// Takes note of a request that is served.
+    pub fn note_served(&mut self) {
+        self.served = true;
     }
 
     /// Takes note of a record that belongs to no open request; false if there were too many.
--- a/src/node/turn.rs
+++ b/src/node/turn.rs
@@ -483,7 +483,7 @@
             return false;
         };
         if let (true, Some(c)) = (status.starts_with("200"), self.table.get(conn)) {
-            c.note_good();
+            c.note_served();
         }
         let capacity = self.facade.capacity();
         self.respond(conn, fcgi, open.keeps(), &Response { status, capacity, throttle, give_up, body });
