Give deep health checks a module of their own

turn.rs had grown by the repeat of checks over links (Check, post_checks, posted). They are moved to checks.rs as they were; the loop only answers what it is told is over.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod accept;
 pub mod answer;
+pub mod checks;
 pub mod clock;
 pub mod config;
 pub mod counters;
--- a/src/node/turn.rs
+++ b/src/node/turn.rs
@@ -2,6 +2,7 @@
 
 use super::accept::{self, ConnId, MOST_OPEN, Open, Table};
 use super::answer::Response;
+use super::checks::Checks;
 use super::clock::Clock;
 use super::config::Config;
 use super::counters::Counters;
@@ -33,8 +34,6 @@
 const FIRST_LANE: usize = 8;
 const FIRST_CONN: usize = FIRST_LANE + store::MOST_LANES;
 
-/// A deep check that the kernel has not answered by then has failed.
-const CHECK: Micros = Micros::millis(3_000);
 /// Longest wait for the poller, so that a clock that was set wrong is noticed.
 const LONGEST_WAIT: Micros = Micros::millis(1_000);
 /// Before the end of a drain: when to stop listening, and when to be gone.
@@ -74,16 +73,6 @@
     call: Vec<u8>,
 }
 
-/// A deep check that waits for the kernel.
-#[derive(Debug)]
-struct Check {
-    conn: ConnId,
-    fcgi: u16,
-    since: Micros,
-    /// The kernel's ticket for it, and the number of the link that it was asked on.
-    asked: Option<(u64, u64)>,
-}
-
 /// The node.
 #[derive(Debug)]
 pub struct Node {
@@ -99,7 +88,7 @@
     facade: Facade,
     counters: Counters,
     tries: BTreeMap<RequestId, Place>,
-    checks: Vec<Check>,
+    checks: Checks,
     leave: Watched<UnixStream>,
     print: Watched<UnixStream>,
     reload: Watched<UnixStream>,
@@ -131,7 +120,7 @@
             members: Members::new(config.members, &config.name).map_err(io_error("members"))?,
             counters: Counters::default(),
             tries: BTreeMap::new(),
-            checks: Vec::new(),
+            checks: Checks::default(),
             leave: on_signal(&poller, LEAVE, &[SIGTERM, SIGINT]).map_err(io_error("signals"))?,
             print: on_signal(&poller, PRINT, &[SIGUSR1]).map_err(io_error("signals"))?,
             reload: on_signal(&poller, RELOAD, &[SIGHUP]).map_err(io_error("signals"))?,
@@ -187,7 +176,9 @@
         }
         let ended = self.store.tick(now, &mut self.counters);
         self.calls_ended(ended);
-        self.post_checks();
+        for (conn, fcgi) in self.checks.post(now, &mut self.kernel, &mut self.counters) {
+            self.end_check(conn, fcgi, false);
+        }
         let look = self.table.tick(now, &mut self.counters);
         self.connections_gone(look.gone);
         for (conn, fcgi) in look.unfinished {
@@ -207,8 +198,7 @@
         let leaving = self
             .stop
             .map(|stop| stop.since(if now.plus(STOP_LISTENING) < stop { STOP_LISTENING } else { GONE }));
-        wake.extend([self.kernel.wake(), self.store.wake(), leaving]);
-        wake.extend(self.checks.iter().map(|c| Some(c.since.plus(CHECK))));
+        wake.extend([self.kernel.wake(), self.store.wake(), self.checks.wake(), leaving]);
         // Nothing is looked at again at once: what is overdue then waits for something else to happen.
         wake.into_iter().flatten().min().unwrap_or(now.plus(LONGEST_WAIT)).max(now.plus(Micros(200)))
     }
@@ -501,39 +491,14 @@
         if let Some(c) = self.table.get(conn) {
             c.open.insert(fcgi, Open::Check(keeps));
         }
-        self.checks.push(Check { conn, fcgi, since: self.clock.now(), asked: None });
-    }
-
-    /// The kernel has answered one.
-    fn posted(&mut self, ticket: u64, good: bool) {
-        let at = self.checks.iter().position(|c| c.asked.is_some_and(|a| a.0 == ticket));
-        if let Some(at) = at {
-            let check = self.checks.swap_remove(at);
-            self.end_check(&check, good);
-        }
+        self.checks.add(self.clock.now(), conn, fcgi);
     }
 
-    fn end_check(&mut self, check: &Check, good: bool) {
-        let open = self.table.get(check.conn).and_then(|c| c.open.remove(&check.fcgi));
+    fn end_check(&mut self, conn: ConnId, fcgi: u16, good: bool) {
+        let open = self.table.get(conn).and_then(|c| c.open.remove(&fcgi));
         if let Some(open) = open {
-            self.answer_check(check.conn, check.fcgi, open.keeps(), good);
-        }
-    }
-
-    /// Asks the kernel for the work of checks, again after a new link; ends those that it does not answer.
-    fn post_checks(&mut self) {
-        let now = self.clock.now();
-        let (over, mut open): (Vec<Check>, Vec<Check>) =
-            mem::take(&mut self.checks).into_iter().partition(|c| now.since(c.since) >= CHECK);
-        let link = self.kernel.link_number();
-        // Guards against a check that fails as the link breaks for a moment: the work still gets done.
-        let linked = self.kernel.is_linked();
-        for check in open.iter_mut().filter(|c| linked && c.asked.is_none_or(|a| a.1 != link)) {
-            check.asked = Some((self.kernel.post(), link));
-            self.counters.posts_sent += 1;
+            self.answer_check(conn, fcgi, open.keeps(), good);
         }
-        self.checks = open;
-        over.iter().for_each(|check| self.end_check(check, false));
     }
 
     fn answer_check(&mut self, conn: ConnId, fcgi: u16, keeps: bool, good: bool) {
@@ -573,7 +538,11 @@
                     let gauges = self.kernel.gauges(&figures);
                     self.report(Report::Gauged(gauges));
                 }
-                Notice::Posted(ticket, good) => self.posted(ticket, good),
+                Notice::Posted(ticket, good) => {
+                    if let Some((conn, fcgi)) = self.checks.posted(ticket) {
+                        self.end_check(conn, fcgi, good);
+                    }
+                }
                 Notice::Invalid(Command::Sched, Some(id)) => {
                     // Nobody but a client that makes ids up asks for what the kernel does not know.
                     if let Some(conn) = self.tries.get(&id).map(|place| place.conn) {
