Count the silence that tells of a hang only while there is work on the cores

Checked: a trace of each refusal (phase, age, gauge, hold). Ruled out: the hold's bound (one held), the gauge, the wait for calls, swamped reading. At fault: struck() in decide.rs measured from the last good end, which after a start is the start of the kernel (BOOTED tells how long ago), and after a pause the end before it. Nothing can end while nothing runs. Now the silence counts from the moment at which work begins on empty cores.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -210,6 +210,7 @@
     runs: Vec<Option<(f64, f64)>>,
     /// How many times slower than that the runs under way seem to be.
     slowdown: f64,
+    /// The last good end, or when work began on empty cores.
     last_end: Time,
     busy: f64,
     runnable: f64,
@@ -349,6 +350,10 @@
     }
 
     fn set_phase(&mut self, id: RequestId, phase: Phase) {
+        if phase == Phase::Running && self.on_cores == 0 {
+            // Nothing could end while nothing ran: that silence is no sign of a hang.
+            self.est.last_end = self.now;
+        }
         self.count(id, false);
         if let Some(e) = self.requests.get_mut(&id) {
             if matches!(e.phase, Phase::Running | Phase::Stopping) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -264,6 +264,24 @@
     assert!(refused(&h.arrive(last), 99));
 }
 
+/// Guards against taking the time in which nothing ran for a hang: the first requests after a start or a pause
+/// were refused, and their callers sent away for a second, as soon as the cores were full.
+#[test]
+fn silence_is_a_sign_of_a_hang_only_while_there_is_work() {
+    let mut h = Host::new(settings());
+    h.step(vec![]);
+    h.pass(5000);
+    let mut out = vec![];
+    for n in 1..=3 {
+        out.extend(h.arrive(request(n, 0)));
+    }
+    out.extend(h.pass(100));
+    let ill = |a: &Action| matches!(a, Action::Refuse { .. } | Action::Health { good: false, .. });
+    assert!(!out.iter().any(ill), "{out:?}");
+    assert!(h.pass(900).contains(&Action::Health { good: false, shallow: true }), "now it hangs");
+    assert!(refused(&h.arrive(request(4, 0)), 4));
+}
+
 #[test]
 fn unread_backlog_closes_the_floor_and_one_prompt_read_opens_it() {
     let mut s = settings();
