Aim for shorter runs with a firmer law: Lmax at 0.15 of the aim, gamma at 0.25

At fault: LMAX_SHARE and GAMMA in decide.rs, which left no time for calls and let the cap go far beyond the cores. The values of formula (5) worked out by hand in tests/law.rs follow the new gamma; in the test of a tenant beyond its share the line is longer, as runs are expected to be shorter.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,14 +8,14 @@
 
 // ---- Constants: unit, reason, source -----------------------------------------------------------------
 
-/// Share of the mean aim that a run may spend on the cores: Lmax of formula (5). The rest is for the
+/// Share of the mean aim that a run may spend on the cores: Lmax of formula (5). The rest is for calls, the
 /// hold, the reading and the way. Ours.
-const LMAX_SHARE: f64 = 0.2;
+const LMAX_SHARE: f64 = 0.15;
 /// Lmax is also at most this multiple of the latency seen while no more run than there are cores: past the
 /// point where more runs only slow each other down, latency outgrows the crowd and the cap stays. Ours.
 const KNEE: f64 = 1.2;
 /// γ' of formula (5) in units of Ti / Lmax, so that it means the same at every rate and aim. Ours.
-const GAMMA: f64 = 0.2;
+const GAMMA: f64 = 0.25;
 /// Control periods in a mean aim; the paper's 6 minutes held hundreds of latencies, ours holds about one.
 const PERIODS_PER_AIM: f64 = 8.0;
 /// The cap moves by at most these factors a period: down, up, and up while cores idle and work waits. Ours.
--- a/tests/law.rs
+++ b/tests/law.rs
@@ -35,6 +35,9 @@
 #[test]
 fn latency_over_lmax_keeps_the_cap_at_the_core_count() {
     assert_eq!(most_running(2, 400, 4.0, Outcome::Ok), 2);
+    // Guards against a crowd while a sixth of the aim goes on the cores: the rest is for calls, hold and way.
+    let (longer, shorter) = (steady_cap(1, 170), steady_cap(1, 120));
+    assert!(longer < 2.02 && shorter > 2.1, "{longer} and {shorter}");
 }
 
 #[test]
@@ -50,9 +53,9 @@
 }
 
 /// The cap in a steady state, read from the allowance of a sole caller (twice the cap, and room for scatter):
-/// 20 runs a second of 0.1 s on two cores, so Ne = 2 and L = 0.1 s, and `gone` more arrivals with each whose
-/// callers leave at once.
-fn steady_cap(gone: u128) -> f64 {
+/// two runs of `ms` at any time on two cores, so Ne = 2, and `gone` more arrivals with each whose callers leave at
+/// once.
+fn steady_cap(gone: u128, ms: u64) -> f64 {
     let mut s = settings();
     s.signal = Signal::Allowance;
     s.callers = 1;
@@ -70,7 +73,7 @@
             events.push(Event::Gone(RequestId(100 * n + k)));
         }
         said.extend(h.step(events));
-        said.extend(h.pass(45));
+        said.extend(h.pass(ms / 2 - 5));
         h.now = h.now + Span::millis(5);
     }
     let last = said.iter().rev().find_map(|a| if let Action::Announce(x) = a { Some(*x) } else { None });
@@ -80,11 +83,11 @@
 
 #[test]
 fn the_cap_is_that_of_formula_5_computed_by_hand() {
-    // Lmax = 1.2 x 0.1 s = 0.12 s; γ' = 0.2 Ti / Lmax; MPL = Ne / (1 + γ' (L - Lmax) / (Ti - Ne/L)).
-    // Ti = 40: γ' = 66.7, MPL = 2 / (1 - 66.7 x 0.02 / 20) = 2.143.
-    // Ti = 60: γ' = 100, MPL = 2 / (1 - 100 x 0.02 / 40) = 2.105.
-    for (gone, by_hand) in [(1, 2.143), (2, 2.105)] {
-        let cap = steady_cap(gone);
+    // Lmax = 1.2 x 0.1 s = 0.12 s; γ' = 0.25 Ti / Lmax; MPL = Ne / (1 + γ' (L - Lmax) / (Ti - Ne/L)).
+    // Ti = 40: γ' = 83.3, MPL = 2 / (1 - 83.3 x 0.02 / 20) = 2.182.
+    // Ti = 60: γ' = 125, MPL = 2 / (1 - 125 x 0.02 / 40) = 2.133.
+    for (gone, by_hand) in [(1, 2.182), (2, 2.133)] {
+        let cap = steady_cap(gone, 100);
         assert!((cap / by_hand - 1.0).abs() < 0.02, "{cap} for {by_hand}");
     }
 }
@@ -92,6 +95,6 @@
 #[test]
 fn at_the_pole_of_the_formula_the_cap_ends_at_the_crowd_that_is_allowed() {
     // Ti = Ne/L with L under Lmax: no excess bounds the cap, so 0.6 of the 6 a core that two cores survive do.
-    let cap = steady_cap(0);
+    let cap = steady_cap(0, 100);
     assert!((cap / 7.2 - 1.0).abs() < 0.02, "{cap}");
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -514,10 +514,10 @@
     h.arrive(other(20));
     h.arrive(other(21));
     h.arrive(request(22, 0));
-    for n in 23..=35 {
+    for n in 23..=39 {
         h.arrive(other(n));
     }
-    let turned_away: Vec<u128> = (20..=35).filter(|n| h.seen[&id(*n)].refused).collect();
+    let turned_away: Vec<u128> = (20..=39).filter(|n| h.seen[&id(*n)].refused).collect();
     assert_eq!(turned_away, [22], "served three beyond ten saved up, it has only earned half back");
 }
 
