Lower the ceiling of the cap to 0.4 of the crowd that a server survives

Checked by a trace of cap, runs, gauge, latency and arrivals. While the tier below was short before, L (which leaves calls out) was low and the cap climbed to its ceiling of 36; then L was 0.35 to 0.4 s with Lmax at 0.24, but Ti - Ne/L was not above 0, where the design has the cap hold. At fault: CROWD_SHARE in decide.rs, 0.6: a crowd in which the cores get less done.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,7 +23,7 @@
 /// Least Ti − Ne/L, as a share of Ti, at which formula (5) is used; below it the cap holds or rises. Ours.
 const MIN_EXCESS: f64 = 0.03;
 /// Highest cap as a share of the crowd that the server survives. Ours.
-const CROWD_SHARE: f64 = 0.6;
+const CROWD_SHARE: f64 = 0.4;
 /// The core gauge reads busy from here (share of the cores). Ours.
 const BUSY: f64 = 0.9;
 /// Longest expected wait in the hold while the cores are busy, as a share of the mean aim. Ours.
--- a/tests/law.rs
+++ b/tests/law.rs
@@ -94,7 +94,9 @@
 
 #[test]
 fn at_the_pole_of_the_formula_the_cap_ends_at_the_crowd_that_is_allowed() {
-    // Ti = Ne/L with L under Lmax: no excess bounds the cap, so 0.6 of the 6 a core that two cores survive do.
+    // Ti = Ne/L with L under Lmax: no excess bounds the cap, so 0.4 of the 6 a core that two cores survive do.
+    // Guards against a cap that climbs while what lies below is short and, as there is no excess, holds there
+    // when the cores are short themselves: at 0.6 a crowd got less done than two thirds of it.
     let cap = steady_cap(0, 100);
-    assert!((cap / 7.2 - 1.0).abs() < 0.02, "{cap}");
+    assert!((cap / 4.8 - 1.0).abs() < 0.02, "{cap}");
 }
