--- a/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,7 @@
 //! booking node has the [`facade`] do it, and sees neither.
 //!
 //! ```
-//! use gaugestand::*;
+//! use gaugestand_core::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![Class {
--- a/tests/facade.rs
+++ b/crates/core/tests/facade.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::settings;
-use gaugestand::facade::{Arrival, CallEnd, Facade, Micros, Report, RunEnd, Unfit, Verdict};
-use gaugestand::{Below, RequestId, Settings};
+use gaugestand_core::facade::{Arrival, CallEnd, Facade, Micros, Report, RunEnd, Unfit, Verdict};
+use gaugestand_core::{Below, RequestId, Settings};
 use std::rc::Rc;
 
 const PURE: usize = 0;
--- a/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -2,7 +2,7 @@
 mod common;
 
 use common::{Host, request, settings};
-use gaugestand::*;
+use gaugestand_core::*;
 
 fn id(n: u128) -> RequestId {
     RequestId(n)
--- a/src/bin/gaugestand-drill/wire.rs
+++ b/src/bin/gaugestand-drill/wire.rs
@@ -1,6 +1,6 @@
 //! Lines of the simulator's wire to events, and actions to lines.
 
-use gaugestand::{
+use gaugestand_core::{
     Action, Below, Class, Effect, Event, Gauges, Halt, Outcome, Request, RequestId, Settings, SettingsError,
     Signal, Span, Tenant, Time, WorthBy,
 };
--- a/src/node/checks.rs
+++ b/src/node/checks.rs
@@ -3,7 +3,7 @@
 use super::accept::ConnId;
 use super::counters::Counters;
 use super::kernel::Kernel;
-use gaugestand::facade::Micros;
+use gaugestand_core::facade::Micros;
 
 /// A check that the kernel has not answered by then has failed.
 const CHECK: Micros = Micros::millis(3_000);
--- a/src/node/clock.rs
+++ b/src/node/clock.rs
@@ -1,6 +1,6 @@
 //! Monotonic and Unix time, read together once a turn.
 
-use gaugestand::facade::Micros;
+use gaugestand_core::facade::Micros;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// Where the monotonic clock starts: later than any age that a request may have, so that the time at which it
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,7 +1,7 @@
 //! The configuration: the BALANCER variables and the JSON file that one of them names.
 
-use gaugestand::facade::Micros;
-use gaugestand::{
+use gaugestand_core::facade::Micros;
+use gaugestand_core::{
     Below, Class, Controller, Effect, Halt, Settings, SettingsError, Signal, Span, Tenant, WorthBy,
 };
 use serde::Deserialize;
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -2,7 +2,7 @@
 
 use super::answer::Outbox;
 use super::poll::Watched;
-use gaugestand::facade::Micros;
+use gaugestand_core::facade::Micros;
 use polling::Poller;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, Read};
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -1,7 +1,7 @@
 //! Reports to the membership service: one datagram each, with no answer.
 
 use super::counters::Counters;
-use gaugestand::facade::Micros;
+use gaugestand_core::facade::Micros;
 use std::io;
 use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -1,8 +1,8 @@
 //! A request as its records come in: parameters, then the body.
 
 use super::fastcgi;
-use gaugestand::RequestId;
-use gaugestand::facade::Micros;
+use gaugestand_core::RequestId;
+use gaugestand_core::facade::Micros;
 
 /// Longest body.
 pub const MOST_BODY: usize = 2048;
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -7,8 +7,8 @@
 use super::counters::Counters;
 use super::link::{CONNECT, Change, Link};
 use super::request::{id_of, id_text};
-use gaugestand::RequestId;
-use gaugestand::facade::{CallEnd, Micros};
+use gaugestand_core::RequestId;
+use gaugestand_core::facade::{CallEnd, Micros};
 use polling::Poller;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
