Keep keys in a ledger that can have a store behind it, behind the facade's Register

Today's key table lives in the facade and forgets with the process. A store of record must decide what is durable before a run begins or an answer goes out, and there must be one table only. core::register is what the facade asks of it; record::ledger keeps it: intent before the run, outcome before the answer, breaker, probes, windows on both clocks, bounded writes.

--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -7,8 +7,8 @@
 
 use crate::decide::Controller;
 use crate::interface::*;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::hash::{BuildHasher, RandomState};
+use crate::register::{Begin, Ended, Found, Join, Moment, Register, RunResult, Settled};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// A point on the monotonic clock, or a length of time, in whole microseconds.
@@ -53,8 +53,6 @@
 const OVERDUE: Micros = Micros::millis(20);
 /// A stored outcome outlives its window by this, for clocks that differ a little.
 const WINDOW_MARGIN: Micros = Micros::millis(100);
-/// How long past its end an entry is kept for tries that reached the machine before and are read after it.
-const READ_LATE: Micros = Micros::millis(10_000);
 
 /// One try of a request, as a front read it.
 #[derive(Clone, Debug)]
@@ -69,6 +67,8 @@
     pub body: &'a [u8],
     /// How long ago it reached the machine.
     pub age: Micros,
+    /// Unix time at which it reached the machine, as it says itself.
+    pub ingress: Micros,
     /// Expected work on one core.
     pub hint: Option<Micros>,
     /// Memory while held, in kilobytes.
@@ -190,48 +190,28 @@
 struct Try {
     class: usize,
     repeat_key: Option<Rc<str>>,
-    print: u64,
-    ingress: Micros,
+    print: u128,
+    ingress: Moment,
     due: Micros,
     /// An answer is owed.
     owed: bool,
+    /// It is to be run as soon as the register has it.
+    awaits: bool,
     /// Its work was begun and has not ended.
     running: bool,
     ran: bool,
     calling: bool,
 }
 
-/// What became of the try that has a key.
-#[derive(Debug)]
-enum Kept {
-    /// Held or running; these tries wait for its end.
-    Open(Vec<RequestId>),
-    /// It ran to this result.
-    Good(Rc<[u8]>),
-    /// It ran and has no result to show.
-    Failed,
-}
-
-#[derive(Debug)]
-struct KeyEntry {
-    holder: RequestId,
-    /// Fingerprint of the body that the key came with.
-    print: u64,
-    ran: bool,
-    until: Micros,
-    kept: Kept,
-}
-
 /// The controller with all that it needs of a host; see the module's page.
 #[derive(Debug)]
-pub struct Facade {
+pub struct Facade<R> {
     settings: Settings,
     seed: u64,
     controller: Option<Controller>,
     tries: BTreeMap<RequestId, Try>,
-    keys: HashMap<Rc<str>, KeyEntry>,
-    /// Takes fingerprints; keyed anew at each start, so that nobody can make two bodies look alike.
-    prints: RandomState,
+    /// The one table of keys.
+    register: R,
     /// Due times of tries that are owed an answer.
     owed: BTreeSet<(Micros, RequestId)>,
     timers: BTreeSet<(Micros, u64)>,
@@ -242,21 +222,19 @@
     capacity: Option<f64>,
     good: bool,
     drain: Option<Micros>,
-    next_sweep: Micros,
     pending: Vec<Event>,
 }
 
-impl Facade {
-    /// A facade for a program that has just started; settings that make no sense are named.
-    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+impl<R: Register> Facade<R> {
+    /// A facade for a program that has just started, with its table of keys; settings that make no sense are named.
+    pub fn new(settings: Settings, seed: u64, register: R) -> Result<Self, SettingsError> {
         Controller::new(settings.clone(), seed)?;
         Ok(Facade {
             settings,
             seed,
             controller: None,
             tries: BTreeMap::new(),
-            keys: HashMap::new(),
-            prints: RandomState::new(),
+            register,
             owed: BTreeSet::new(),
             timers: BTreeSet::new(),
             due_timers: Vec::new(),
@@ -265,7 +243,6 @@
             capacity: None,
             good: true,
             drain: None,
-            next_sweep: Micros(0),
             pending: Vec::new(),
         })
     }
@@ -282,7 +259,12 @@
 
     /// Whether checks hear that this program is in service: its work is up and the controller says so.
     pub fn healthy(&self) -> bool {
-        self.controller.is_some() && self.good && self.drain.is_none()
+        self.controller.is_some() && self.good && self.drain.is_none() && self.register.is_ready()
+    }
+
+    /// The table of keys, for whoever carries its writes out. After any change to it [`Facade::tick`] is owed.
+    pub fn register(&mut self) -> &mut R {
+        &mut self.register
     }
 
     /// Tries that are owed an answer.
@@ -291,32 +273,38 @@
     }
 
     /// A request came: appends what happens to it and to others.
-    pub fn pick(&mut self, now: Micros, a: Arrival<'_>, out: &mut Vec<Verdict>) -> Result<(), Unfit> {
+    pub fn pick(&mut self, now: Moment, a: Arrival<'_>, out: &mut Vec<Verdict>) -> Result<(), Unfit> {
         if self.tries.contains_key(&a.id) {
             return Err(Unfit::Known);
         }
         if self.controller.is_none() {
             // Nothing can be run before the work is up, so nothing was.
             let stay_away = self.settings.max_stay_away.unwrap_or_default().into();
-            out.push(Verdict::Refuse { id: a.id, stay_away, give_up: false });
-            out.push(Verdict::Forget(a.id));
+            self.turn_back(a.id, stay_away, out);
             return Ok(());
         }
         let class = a.class.min(self.settings.classes.len() - 1);
         let settings = &self.settings.classes[class];
-        let ingress = Micros(now.0.saturating_sub(a.age.0));
+        let ingress = Moment { mono: Micros(now.mono.0.saturating_sub(a.age.0)), wall: a.ingress };
         let keyed = settings.effect == Effect::Keyed;
         let repeat_key: Option<Rc<str>> = a.repeat_key.filter(|_| keyed).map(Rc::from);
-        let due = ingress.plus(settings.deadline.into()).max(now);
-        let print = repeat_key.as_ref().map_or(0, |_| self.prints.hash_one(a.body));
-        let entry = repeat_key.as_ref().and_then(|key| self.keys.get(key)).filter(|e| ingress < e.until);
-        // Guards against a result that goes to whoever names its key: it is another request's.
-        if entry.is_some_and(|e| e.print != print) {
-            return Err(Unfit::OtherBody);
-        }
-        let prior = entry.map(|e| e.holder);
-        let (owed, running, ran, calling) = (true, false, false, false);
-        self.tries.insert(a.id, Try { class, repeat_key, print, ingress, due, owed, running, ran, calling });
+        let due = ingress.mono.plus(settings.deadline.into()).max(now.mono);
+        let print = repeat_key.as_ref().map_or(0, |_| self.register.print(a.body));
+        let found = repeat_key.as_ref().map(|key| self.register.find(now, key, print, ingress));
+        let prior = match found {
+            Some(Found::OtherBody) => return Err(Unfit::OtherBody),
+            Some(Found::Closed(advice)) => {
+                // It can't be recorded, so it is not run: told at once, with when to come back.
+                let most = self.settings.max_stay_away.unwrap_or_default().into();
+                self.turn_back(a.id, advice.min(most), out);
+                return Ok(());
+            }
+            Some(Found::Prior(id)) => Some(id),
+            Some(Found::Nothing) | None => None,
+        };
+        let (owed, awaits, running, ran, calling) = (true, false, false, false, false);
+        let t = Try { class, repeat_key, print, ingress, due, owed, awaits, running, ran, calling };
+        self.tries.insert(a.id, t);
         self.owed.insert((due, a.id));
         let request = Request {
             id: a.id,
@@ -337,18 +325,24 @@
         Ok(())
     }
 
+    /// Refuses a try of which the controller never hears.
+    fn turn_back(&mut self, id: RequestId, stay_away: Micros, out: &mut Vec<Verdict>) {
+        out.push(Verdict::Refuse { id, stay_away, give_up: false });
+        out.push(Verdict::Forget(id));
+    }
+
     /// Something happened: appends what is to be done about it.
-    pub fn report(&mut self, now: Micros, report: Report, out: &mut Vec<Verdict>) {
+    pub fn report(&mut self, now: Moment, report: Report, out: &mut Vec<Verdict>) {
         match report {
             Report::Booted { cold, age } => return self.boot(now, cold, age, out),
             Report::Link(up) => {
                 self.linked = up;
                 self.asked = None;
             }
-            Report::Ended(id, end) => self.ended(id, end, out),
+            Report::Ended(id, end) => self.ended(now, id, end, out),
             Report::WantsCall(id) => self.pending.push(Event::AtCall(id)),
             Report::Called(id, end, lag) => self.called(id, end, lag),
-            Report::Aborted(id) => self.aborted(id, out),
+            Report::Aborted(id) => self.aborted(now, id, out),
             Report::Drain(stop) => {
                 self.drain = Some(stop);
                 self.pending.push(Event::Drain(stop.time()));
@@ -359,7 +353,8 @@
     }
 
     /// Time has passed: appends what came due and returns when to call again.
-    pub fn tick(&mut self, now: Micros, out: &mut Vec<Verdict>) -> Option<Micros> {
+    pub fn tick(&mut self, at: Moment, out: &mut Vec<Verdict>) -> Option<Micros> {
+        let now = at.mono;
         while let Some((t, name)) = self.timers.first().copied().filter(|(t, _)| *t <= now) {
             self.timers.remove(&(t, name));
             self.due_timers.push(name);
@@ -375,21 +370,18 @@
                 _ => self.elapse(Gauges::default()),
             }
         }
-        self.fail_overdue(now, out);
-        if now >= self.next_sweep {
-            self.next_sweep = now.plus(Micros::millis(1000));
-            self.keys.retain(|_, e| now < e.until.plus(READ_LATE) || matches!(e.kept, Kept::Open(_)));
-        }
+        self.settle_waiting(at, out);
+        self.fail_overdue(at, out);
         if !self.pending.is_empty() {
-            self.step(now, out);
+            self.step(at, out);
         }
         let overdue = self.owed.first().map(|(t, _)| t.plus(OVERDUE));
         let timer = self.timers.first().map(|(t, _)| *t);
         let fallback = self.asked.map(|t| t.plus(GAUGE_WAIT)).filter(|_| !self.due_timers.is_empty());
-        [overdue, timer, fallback].into_iter().flatten().min()
+        [overdue, timer, fallback, self.register.wake()].into_iter().flatten().min()
     }
 
-    fn boot(&mut self, now: Micros, cold: bool, age: Micros, out: &mut Vec<Verdict>) {
+    fn boot(&mut self, now: Moment, cold: bool, age: Micros, out: &mut Vec<Verdict>) {
         self.linked = true;
         if self.controller.is_some() {
             return;
@@ -398,7 +390,7 @@
         // `new` has built the same controller before; settings that it accepted once are accepted again.
         let Ok(mut controller) = Controller::new(settings, self.seed) else { return };
         let mut actions = Vec::new();
-        controller.step(Micros(now.0.saturating_sub(age.0)).time(), &[], &mut actions);
+        controller.step(Micros(now.mono.0.saturating_sub(age.0)).time(), &[], &mut actions);
         self.controller = Some(controller);
         if let Some(stop) = self.drain {
             self.pending.push(Event::Drain(stop.time()));
@@ -408,7 +400,7 @@
     }
 
     /// Hands the events that wait to the controller, until carrying out its actions makes no more.
-    fn step(&mut self, now: Micros, out: &mut Vec<Verdict>) {
+    fn step(&mut self, now: Moment, out: &mut Vec<Verdict>) {
         loop {
             let events = std::mem::take(&mut self.pending);
             if events.is_empty() {
@@ -416,35 +408,35 @@
             }
             let Some(controller) = &mut self.controller else { return };
             let mut actions = Vec::new();
-            controller.step(now.time(), &events, &mut actions);
+            controller.step(now.mono.time(), &events, &mut actions);
             self.carry_out(now, actions, out);
         }
     }
 
-    fn carry_out(&mut self, now: Micros, actions: Vec<Action>, out: &mut Vec<Verdict>) {
+    fn carry_out(&mut self, now: Moment, actions: Vec<Action>, out: &mut Vec<Verdict>) {
         for action in actions {
             match action {
-                Action::Run(id) => self.run(id, out),
-                Action::Halt(id) => out.push(Verdict::Stop(id)),
+                Action::Run(id) => self.run(now, id, out),
+                Action::Halt(id) => self.halt(now, id, out),
                 Action::Refuse { id, stay_away, give_up } => {
-                    self.turn_away(id, stay_away.into(), give_up, out);
+                    self.turn_away(now, id, stay_away.into(), give_up, out);
                 }
-                Action::Fail(id) => self.fail(id, out),
+                Action::Fail(id) => self.fail(now, id, out),
                 // No work is left out on this kind of link; a run that cannot go on has failed.
-                Action::SkipCall(id) => self.fail(id, out),
+                Action::SkipCall(id) => self.fail(now, id, out),
                 Action::Reuse(id) => self.reuse(id, out),
-                Action::Keep(id, span) => self.keep(id, now.plus(span.into())),
-                Action::Forget(id) => self.forget(id, out),
+                Action::Keep(id, span) => self.keep(id, now.plus(span.into()), out),
+                Action::Forget(id) => self.forget(now, id, out),
                 Action::Call(id, until) => {
                     if let Some(t) = self.tries.get_mut(&id) {
                         t.calling = true;
-                        out.push(Verdict::Call(id, Micros(until.0 / 1000).since(now)));
+                        out.push(Verdict::Call(id, Micros(until.0 / 1000).since(now.mono)));
                     }
                 }
                 Action::Announce(value) => self.capacity = Some(value),
                 Action::Health { good, .. } => self.good = good,
                 Action::IdleLimit(span) => out.push(Verdict::IdleLimit(span.into())),
-                Action::SetTimer(name, span) => drop(self.timers.insert((now.plus(span.into()), name))),
+                Action::SetTimer(name, span) => drop(self.timers.insert((now.mono.plus(span.into()), name))),
                 Action::Log(_) => {}
             }
         }
@@ -460,31 +452,88 @@
 
     /// Forgets a try of which nothing more can come.
     fn close(&mut self, id: RequestId, out: &mut Vec<Verdict>) {
-        if self.tries.get(&id).is_some_and(|t| !t.owed && !t.running) {
+        if self.tries.get(&id).is_some_and(|t| !t.owed && !t.running && !t.awaits) {
             self.tries.remove(&id);
             out.push(Verdict::Forget(id));
         }
     }
 
-    fn run(&mut self, id: RequestId, out: &mut Vec<Verdict>) {
+    fn run(&mut self, now: Moment, id: RequestId, out: &mut Vec<Verdict>) {
         let Some(t) = self.tries.get_mut(&id) else { return };
-        let entry = t.repeat_key.as_ref().and_then(|key| self.keys.get_mut(key));
-        if let Some(entry) = entry {
-            // Guards against an effect twice, whatever was decided: the key's window is held here alone.
-            if entry.ran && entry.holder != id && t.ingress < entry.until {
+        let begin = t.repeat_key.as_ref().map_or(Begin::Go, |key| {
+            let window = self.settings.classes[t.class].dedup_window.into();
+            let until = t.ingress.plus(window).plus(WINDOW_MARGIN);
+            self.register.begin(now, key, id, t.ingress, until)
+        });
+        match begin {
+            Begin::Go => {
+                (t.running, t.ran) = (true, true);
+                out.push(Verdict::Run(id));
+            }
+            Begin::Wait => t.awaits = true,
+            // Guards against an effect twice, whatever was decided.
+            Begin::Never => {
                 self.pending.push(Event::Done(id, Outcome::Moot));
-                return self.fail(id, out);
+                self.fail(now, id, out);
+            }
+        }
+    }
+
+    /// Stops a run; one that has not begun yet need not be.
+    fn halt(&mut self, now: Moment, id: RequestId, out: &mut Vec<Verdict>) {
+        let Some(t) = self.tries.get_mut(&id).filter(|t| t.awaits) else {
+            return out.push(Verdict::Stop(id));
+        };
+        t.awaits = false;
+        let key = t.repeat_key.clone();
+        let waiting = key.map(|key| self.register.leave(now, &key, id).waiting);
+        self.answer_waiting(waiting.unwrap_or_default(), None, out);
+        self.pending.push(Event::Done(id, Outcome::Cancelled));
+        self.close(id, out);
+    }
+
+    /// Carries out what the register has settled since.
+    fn settle_waiting(&mut self, now: Moment, out: &mut Vec<Verdict>) {
+        let mut settled = Vec::new();
+        self.register.settled(now, &mut settled);
+        for s in settled {
+            match s {
+                Settled::Begun(id) => {
+                    if let Some(t) = self.tries.get_mut(&id).filter(|t| t.awaits) {
+                        (t.awaits, t.running, t.ran) = (false, true, true);
+                        out.push(Verdict::Run(id));
+                    }
+                }
+                Settled::Unwritten(id, waiting, advice) => {
+                    let most = self.settings.max_stay_away.unwrap_or_default().into();
+                    let advice = advice.min(most);
+                    for id in std::iter::once(id).chain(waiting) {
+                        let awaited = self.tries.get_mut(&id).is_some_and(|t| std::mem::take(&mut t.awaits));
+                        let end = if awaited { Outcome::Moot } else { Outcome::Error };
+                        self.pending.push(Event::Done(id, end));
+                        self.turn_away(now, id, advice, false, out);
+                    }
+                }
+                Settled::Stored(id, waiting, result) => {
+                    if self.settle(id) {
+                        out.push(Verdict::Serve(id, result.clone()));
+                    }
+                    self.close(id, out);
+                    self.answer_waiting(waiting, Some(&result), out);
+                }
             }
-            entry.ran = true;
-            let window = self.settings.classes[t.class].dedup_window.into();
-            entry.until = entry.until.max(t.ingress.plus(window).plus(WINDOW_MARGIN));
         }
-        (t.running, t.ran) = (true, true);
-        out.push(Verdict::Run(id));
     }
 
     /// A refusal says that the try never ran; one that did gets a failure with the same advice.
-    fn turn_away(&mut self, id: RequestId, stay_away: Micros, give_up: bool, out: &mut Vec<Verdict>) {
+    fn turn_away(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        stay_away: Micros,
+        give_up: bool,
+        out: &mut Vec<Verdict>,
+    ) {
         let ran = self.tries.get(&id).is_some_and(|t| t.ran);
         if self.settle(id) {
             out.push(match ran {
@@ -492,36 +541,29 @@
                 false => Verdict::Refuse { id, stay_away, give_up },
             });
         }
-        self.leave(id, out);
+        self.leave(now, id, out);
     }
 
-    fn fail(&mut self, id: RequestId, out: &mut Vec<Verdict>) {
+    fn fail(&mut self, now: Moment, id: RequestId, out: &mut Vec<Verdict>) {
         if self.settle(id) {
             out.push(Verdict::Fail { id, stay_away: Micros(0), give_up: false });
         }
-        self.leave(id, out);
+        self.leave(now, id, out);
     }
 
     /// A try that was answered or given up leaves, unless its run goes on.
-    fn leave(&mut self, id: RequestId, out: &mut Vec<Verdict>) {
-        let Some(t) = self.tries.get(&id) else { return };
+    fn leave(&mut self, now: Moment, id: RequestId, out: &mut Vec<Verdict>) {
+        let Some(t) = self.tries.get_mut(&id) else { return };
         if let (Some(key), false) = (t.repeat_key.clone(), t.running) {
-            match self.keys.get_mut(&key) {
-                Some(e) if e.holder == id && !e.ran => self.void_key(&key, out),
-                Some(KeyEntry { kept: Kept::Open(waiting), .. }) => waiting.retain(|w| *w != id),
-                _ => {}
+            let left = self.register.leave(now, &key, id);
+            if std::mem::take(&mut t.awaits) || left.withdrawn {
+                self.pending.push(Event::Done(id, Outcome::Moot));
             }
+            self.answer_waiting(left.waiting, None, out);
         }
         self.close(id, out);
     }
 
-    /// The try with this key will never run: the tries that wait for it fail, and the next one is a first.
-    fn void_key(&mut self, key: &Rc<str>, out: &mut Vec<Verdict>) {
-        if let Some(KeyEntry { kept: Kept::Open(waiting), .. }) = self.keys.remove(key) {
-            self.answer_waiting(waiting, None, out);
-        }
-    }
-
     fn answer_waiting(&mut self, ids: Vec<RequestId>, result: Option<&Rc<[u8]>>, out: &mut Vec<Verdict>) {
         for id in ids {
             let outcome = if result.is_some() { Outcome::Ok } else { Outcome::Error };
@@ -537,32 +579,31 @@
     }
 
     fn reuse(&mut self, id: RequestId, out: &mut Vec<Verdict>) {
-        let key = self.tries.get(&id).and_then(|t| t.repeat_key.clone());
-        let result = match key.and_then(|key| self.keys.get_mut(&key)).map(|e| &mut e.kept) {
-            Some(Kept::Open(waiting)) => return waiting.push(id),
-            Some(Kept::Good(result)) => Some(result.clone()),
-            Some(Kept::Failed) | None => None,
-        };
-        self.answer_waiting(vec![id], result.as_ref(), out);
+        let key = self.tries.get(&id).and_then(|t| t.repeat_key.as_ref());
+        match key.map_or(Join::Fail, |key| self.register.join(key, id)) {
+            Join::Wait => {}
+            Join::Replay(result) => self.answer_waiting(vec![id], Some(&result), out),
+            Join::Fail => self.answer_waiting(vec![id], None, out),
+        }
     }
 
-    fn keep(&mut self, id: RequestId, until: Micros) {
+    fn keep(&mut self, id: RequestId, until: Moment, out: &mut Vec<Verdict>) {
         let Some(t) = self.tries.get(&id) else { return };
-        if let Some(key) = t.repeat_key.clone() {
-            let kept = Kept::Open(Vec::new());
-            self.keys.insert(key, KeyEntry { holder: id, print: t.print, ran: false, until, kept });
+        if let Some(key) = &t.repeat_key {
+            let waiting = self.register.keep(key, id, t.print, until);
+            self.answer_waiting(waiting, None, out);
         }
     }
 
     /// Drops an entry; one whose try ran stays, as the rule binds for the whole window.
-    fn forget(&mut self, id: RequestId, out: &mut Vec<Verdict>) {
-        let Some(key) = self.tries.get(&id).and_then(|t| t.repeat_key.clone()) else { return };
-        if self.keys.get(&key).is_some_and(|e| e.holder == id && !e.ran) {
-            self.void_key(&key, out);
-        }
+    fn forget(&mut self, now: Moment, id: RequestId, out: &mut Vec<Verdict>) {
+        let Some(t) = self.tries.get(&id).filter(|t| !t.running && !t.awaits) else { return };
+        let Some(key) = &t.repeat_key else { return };
+        let left = self.register.leave(now, key, id);
+        self.answer_waiting(left.waiting, None, out);
     }
 
-    fn ended(&mut self, id: RequestId, end: RunEnd, out: &mut Vec<Verdict>) {
+    fn ended(&mut self, now: Moment, id: RequestId, end: RunEnd, out: &mut Vec<Verdict>) {
         let Some(t) = self.tries.get_mut(&id).filter(|t| t.running) else { return };
         t.running = false;
         if std::mem::take(&mut t.calling) {
@@ -576,34 +617,28 @@
             RunEnd::NeverRan => Outcome::Moot,
         };
         self.pending.push(Event::Done(id, outcome));
-        if let Some(key) = key {
-            self.end_key(id, &key, &end, out);
-        }
+        let result = match end {
+            RunEnd::Good(result) => RunResult::Good(result),
+            RunEnd::Bad | RunEnd::Cut => RunResult::None,
+            RunEnd::NeverRan => RunResult::NeverRan,
+        };
+        let ended = match (key, result) {
+            (Some(key), result) => self.register.end(now, &key, id, result),
+            (None, RunResult::Good(result)) => Ended::Now(Vec::new(), Some(result)),
+            (None, _) => Ended::Now(Vec::new(), None),
+        };
+        // What waits to be durable is served, or fails at its due time.
+        let Ended::Now(waiting, result) = ended else { return self.close(id, out) };
+        self.answer_waiting(waiting, result.as_ref(), out);
         if self.settle(id) {
-            out.push(match end {
-                RunEnd::Good(result) => Verdict::Serve(id, result),
-                _ => Verdict::Fail { id, stay_away: Micros(0), give_up: false },
+            out.push(match result {
+                Some(result) => Verdict::Serve(id, result),
+                None => Verdict::Fail { id, stay_away: Micros(0), give_up: false },
             });
         }
         self.close(id, out);
     }
 
-    /// Stores what came of the run that has this key.
-    fn end_key(&mut self, id: RequestId, key: &Rc<str>, end: &RunEnd, out: &mut Vec<Verdict>) {
-        let Some(entry) = self.keys.get_mut(key).filter(|e| e.holder == id) else { return };
-        if *end == RunEnd::NeverRan {
-            return self.void_key(key, out);
-        }
-        let result = match end {
-            RunEnd::Good(result) => Some(result.clone()),
-            _ => None,
-        };
-        let kept = result.clone().map_or(Kept::Failed, Kept::Good);
-        if let Kept::Open(waiting) = std::mem::replace(&mut entry.kept, kept) {
-            self.answer_waiting(waiting, result.as_ref(), out);
-        }
-    }
-
     fn called(&mut self, id: RequestId, end: CallEnd, lag: Micros) {
         let Some(t) = self.tries.get_mut(&id).filter(|t| t.calling) else { return };
         t.calling = false;
@@ -618,10 +653,10 @@
         self.pending.push(Event::Called(id, outcome, lag.span()));
     }
 
-    fn aborted(&mut self, id: RequestId, out: &mut Vec<Verdict>) {
+    fn aborted(&mut self, now: Moment, id: RequestId, out: &mut Vec<Verdict>) {
         if self.settle(id) {
             self.pending.push(Event::Gone(id));
-            self.leave(id, out);
+            self.leave(now, id, out);
         }
     }
 
@@ -632,11 +667,11 @@
     }
 
     /// Guards against a lost request, whatever was decided: past its due time it gets a failure.
-    fn fail_overdue(&mut self, now: Micros, out: &mut Vec<Verdict>) {
-        while let Some((due, id)) = self.owed.first().copied().filter(|(t, _)| t.plus(OVERDUE) <= now) {
+    fn fail_overdue(&mut self, now: Moment, out: &mut Vec<Verdict>) {
+        while let Some((due, id)) = self.owed.first().copied().filter(|(t, _)| t.plus(OVERDUE) <= now.mono) {
             self.owed.remove(&(due, id));
             self.pending.push(Event::Gone(id));
-            self.fail(id, out);
+            self.fail(now, id, out);
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -76,6 +76,7 @@
 mod decide;
 pub mod facade;
 mod interface;
+pub mod register;
 
 pub use decide::Controller;
 pub use interface::*;
--- /dev/null
+++ b/crates/core/src/register.rs
@@ -0,0 +1,130 @@
+//! What the facade asks of the one table of keys, whoever keeps it.
+//!
+//! The facade decides nothing about keys itself: which try of a keyed request may run, what its repeats get and
+//! when an answer may go out is the register's. It is asked in the order in which things happen, answers at
+//! once, and tells later what has settled since ([`Register::settled`]). It has no clock and does no I/O.
+
+use crate::facade::Micros;
+use crate::interface::RequestId;
+use std::rc::Rc;
+
+/// A moment on both clocks. The monotonic one can't be set; the wall clock is the one that survives a restart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Moment {
+    /// Monotonic time of this process.
+    pub mono: Micros,
+    /// Unix time.
+    pub wall: Micros,
+}
+
+impl Moment {
+    /// This much later on both.
+    pub const fn plus(self, by: Micros) -> Self {
+        Moment { mono: self.mono.plus(by), wall: self.wall.plus(by) }
+    }
+
+    /// Whether this moment is before the end of a window. Either clock will do: one that was set back or forward
+    /// may lengthen a window, never shorten it.
+    pub fn is_before(self, end: Moment) -> bool {
+        self.mono < end.mono || self.wall < end.wall
+    }
+}
+
+/// What is known of a key when a try of it comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// Nothing that binds: the try is a first one.
+    Nothing,
+    /// This try has the key; the new one repeats it.
+    Prior(RequestId),
+    /// The key came with another body.
+    OtherBody,
+    /// Nothing, and no first try can be taken now: come back after this long.
+    Closed(Micros),
+}
+
+/// Whether a run may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// Now.
+    Go,
+    /// Once [`Settled::Begun`] says so.
+    Wait,
+    /// Never: another try of the key ran in its window.
+    Never,
+}
+
+/// What a repeat gets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Join {
+    /// It waits for the end of the try that has the key.
+    Wait,
+    /// This result.
+    Replay(Rc<[u8]>),
+    /// A failure: the try that has the key ran and has no result to show.
+    Fail,
+}
+
+/// What the end of a run means for those who wait for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// All of these, and the try itself, get this result, or a failure.
+    Now(Vec<RequestId>, Option<Rc<[u8]>>),
+    /// The result can't be shown before [`Settled::Stored`].
+    Wait,
+}
+
+/// A try that leaves: what that changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Left {
+    /// Repeats that waited for it and now never get a result.
+    pub waiting: Vec<RequestId>,
+    /// It waited to begin, and will not.
+    pub withdrawn: bool,
+}
+
+/// Something that waited and does so no longer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// The run of this try may begin.
+    Begun(RequestId),
+    /// This try can't be recorded and never ran, nor did those that waited for it; come back after so long.
+    Unwritten(RequestId, Vec<RequestId>, Micros),
+    /// The result of this try may be shown, to it and to those that waited.
+    Stored(RequestId, Vec<RequestId>, Rc<[u8]>),
+}
+
+/// The one table of keys.
+pub trait Register {
+    /// Fingerprint of a body: bodies with the same are held to be the same.
+    fn print(&self, body: &[u8]) -> u128;
+    /// A try with this key and fingerprint came, which reached the machine at `at`.
+    fn find(&mut self, now: Moment, key: &str, print: u128, at: Moment) -> Found;
+    /// The try is a first one and has the key from now on. Returns repeats that waited for the one before it.
+    fn keep(&mut self, key: &Rc<str>, id: RequestId, print: u128, until: Moment) -> Vec<RequestId>;
+    /// The try, which reached the machine at `at`, is to be run; repeats are recognised up to `until`.
+    fn begin(&mut self, now: Moment, key: &Rc<str>, id: RequestId, at: Moment, until: Moment) -> Begin;
+    /// A repeat wants the result of the try that has its key.
+    fn join(&mut self, key: &str, id: RequestId) -> Join;
+    /// A run is over: with a result, with none, or it turned out that it was never begun.
+    fn end(&mut self, now: Moment, key: &Rc<str>, id: RequestId, end: RunResult) -> Ended;
+    /// The try was answered or given up, and is not running.
+    fn leave(&mut self, now: Moment, key: &Rc<str>, id: RequestId) -> Left;
+    /// Appends what has settled, and drops what is past its window.
+    fn settled(&mut self, now: Moment, out: &mut Vec<Settled>);
+    /// Whether keyed requests can be taken at all yet: false while what was kept before is being read.
+    fn is_ready(&self) -> bool;
+    /// When to call [`Register::settled`] although nothing happens.
+    fn wake(&self) -> Option<Micros>;
+}
+
+/// How a run ended, as far as its record is concerned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunResult {
+    /// With this result.
+    Good(Rc<[u8]>),
+    /// It ran, or may have run, and has none.
+    None,
+    /// It never began.
+    NeverRan,
+}
--- a/crates/core/tests/facade.rs
+++ b/crates/core/tests/facade.rs
@@ -4,7 +4,9 @@
 
 use common::settings;
 use gaugestand_core::facade::{Arrival, CallEnd, Facade, Micros, Report, RunEnd, Unfit, Verdict};
+use gaugestand_core::register::Moment;
 use gaugestand_core::{Below, RequestId, Settings};
+use gaugestand_record::Ledger;
 use std::rc::Rc;
 
 const PURE: usize = 0;
@@ -12,13 +14,14 @@
 
 /// A facade whose work is up, and its clock.
 struct Desk {
-    facade: Facade,
+    facade: Facade<Ledger>,
     now: Micros,
 }
 
 impl Desk {
     fn new() -> Self {
-        let facade = Facade::new(Settings { below: Below::Tier, ..settings() }, 1).expect("sound settings");
+        let settings = Settings { below: Below::Tier, ..settings() };
+        let facade = Facade::new(settings, 1, Ledger::volatile()).expect("sound settings");
         let mut desk = Desk { facade, now: Micros::millis(3_600_000) };
         desk.report(Report::Booted { cold: false, age: Micros(0) });
         desk
@@ -35,27 +38,32 @@
             repeat_key: Some("k".to_string()),
             body,
             age: Micros::millis(age),
+            ingress: self.moment().wall.since(Micros::millis(age)),
             hint: None,
             held_kb: 20.0,
             rank: 0.5,
             caller: 1,
         };
         let mut out = Vec::new();
-        self.facade.pick(self.now, arrival, &mut out).map(|()| out)
+        self.facade.pick(self.moment(), arrival, &mut out).map(|()| out)
     }
 
     fn report(&mut self, report: Report) -> Vec<Verdict> {
         let mut out = Vec::new();
-        self.facade.report(self.now, report, &mut out);
+        self.facade.report(self.moment(), report, &mut out);
         out
     }
 
+    fn moment(&self) -> Moment {
+        Moment { mono: self.now, wall: self.now.plus(Micros::millis(1_700_000_000_000)) }
+    }
+
     /// Lets time pass in steps of 4 ms; nobody answers questions for gauges.
     fn pass(&mut self, ms: u64) -> Vec<Verdict> {
         let mut out = Vec::new();
         for _ in 0..ms / 4 {
             self.now = self.now.plus(Micros::millis(4));
-            let wake = self.facade.tick(self.now, &mut out);
+            let wake = self.facade.tick(self.moment(), &mut out);
             assert!(wake.is_some_and(|w| w > self.now), "it wakes again, and not at once");
         }
         out.retain(|v| !matches!(v, Verdict::Gauge | Verdict::IdleLimit(_)));
--- /dev/null
+++ b/crates/record/src/lib.rs
@@ -0,0 +1,11 @@
+//! The store of record of a booking node.
+//!
+//! [`ledger`] decides: what must be durable before a run begins or an answer goes out, what a repeat gets, and
+//! what becomes of all that when a store stalls, breaks or comes back. It does no I/O and reads no clock.
+//! [`row`] is what it says to a backend and hears from it.
+#![forbid(unsafe_code)]
+
+pub mod ledger;
+pub mod row;
+
+pub use ledger::{Breaker, Figures, Ledger, Limits};
--- a/src/node/clock.rs
+++ b/src/node/clock.rs
@@ -1,6 +1,7 @@
 //! Monotonic and Unix time, read together once a turn.
 
 use gaugestand_core::facade::Micros;
+use gaugestand_core::register::Moment;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// Where the monotonic clock starts: later than any age that a request may have, so that the time at which it
@@ -35,6 +36,11 @@
         self.now
     }
 
+    /// The time of this turn on both clocks.
+    pub fn moment(&self) -> Moment {
+        Moment { mono: self.now, wall: self.unix }
+    }
+
     /// How long ago this moment of Unix time was; zero if it is still to come.
     pub fn age(&self, unix: Micros) -> Micros {
         // An age beyond the origin says nothing more than one at it: both are long past every due time.
--- a/src/node/turn.rs
+++ b/src/node/turn.rs
@@ -16,6 +16,7 @@
 use super::{config, say};
 use gaugestand_core::facade::{Arrival, Facade, Micros, Report, RunEnd, Unfit, Verdict};
 use gaugestand_core::{RequestId, SettingsError};
+use gaugestand_record::Ledger;
 use polling::{Events, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::collections::BTreeMap;
@@ -85,7 +86,7 @@
     kernel: Kernel,
     store: Store,
     members: Members,
-    facade: Facade,
+    facade: Facade<Ledger>,
     counters: Counters,
     tries: BTreeMap<RequestId, Place>,
     checks: Checks,
@@ -112,7 +113,8 @@
         let lanes = store::lanes_within(config.sockets);
         let table = Table::listen(&poller, config.listen, LISTENER, FIRST_CONN, config.sockets - lanes)
             .map_err(io_error("listening"))?;
-        let facade = Facade::new(config.settings.clone(), config.seed).map_err(NodeError::Settings)?;
+        let facade = Facade::new(config.settings.clone(), config.seed, Ledger::volatile())
+            .map_err(NodeError::Settings)?;
         Ok(Node {
             clock: Clock::new(),
             kernel: Kernel::new(config.kernel, KERNEL, &poller, &config.gauges),
@@ -185,7 +187,7 @@
             self.fail_unread(conn, fcgi, Fault::Unfinished);
         }
         let mut verdicts = Vec::new();
-        let mut wake = vec![self.facade.tick(now, &mut verdicts)];
+        let mut wake = vec![self.facade.tick(self.clock.moment(), &mut verdicts)];
         self.carry_out(verdicts);
         if self.stop.is_some_and(|stop| now.plus(STOP_LISTENING) >= stop) {
             self.table.stop_listening();
@@ -400,13 +402,14 @@
             repeat_key: t.repeat_key,
             body: &body,
             age: self.clock.age(t.ingress),
+            ingress: t.ingress,
             hint: t.hint,
             held_kb: t.held_kb,
             rank: t.rank,
             caller: t.router,
         };
         let mut verdicts = Vec::new();
-        match self.facade.pick(self.clock.now(), arrival, &mut verdicts) {
+        match self.facade.pick(self.clock.moment(), arrival, &mut verdicts) {
             Ok(()) => {}
             // Whatever became of the other one, this one cannot be told apart from it.
             Err(Unfit::Known) => return self.bad(conn, fcgi, keeps, Fault::Malformed("X-Txn")),
@@ -574,7 +577,7 @@
 
     fn report(&mut self, report: Report) {
         let mut verdicts = Vec::new();
-        self.facade.report(self.clock.now(), report, &mut verdicts);
+        self.facade.report(self.clock.moment(), report, &mut verdicts);
         self.carry_out(verdicts);
     }
 
