--- /dev/null
+++ b/crates/settings/tests/script.rs
@@ -0,0 +1,62 @@
+//! Scripts that are sound and scripts that are not: what is in effect, or one line with place and hint.
+
+use gaugestand_settings::*;
+
+fn sound(text: &str) -> Settings {
+    evaluate("op.star", text.to_string()).unwrap_or_else(|e| panic!("{text}: {e}"))
+}
+
+#[test]
+fn the_documented_lines_turn_either_store_on() {
+    let s = sound(r#"record(backend = "sqlite", path = "/var/lib/gaugestand/record.db", sync = "full")"#);
+    let record = s.record.expect("a store");
+    let path = "/var/lib/gaugestand/record.db".into();
+    assert_eq!(record.backend, Backend::Sqlite { path, sync: Sync::Full });
+    assert_eq!((record.entries, record.batch, record.stall_ms), (100_000, 512, 250));
+    let s = sound(
+        "host = '10.0.0.7'\nrecord(backend = 'postgres', address = host + ':5432', database = 'gs', \
+         user = 'n3', password_file = '/etc/gs.pass', stall_ms = 400)\nlog(form = 'json', level = 'warn')",
+    );
+    let record = s.record.expect("a store");
+    let Backend::Postgres { address, database, .. } = record.backend else { panic!("another backend") };
+    assert_eq!((address.port(), database.as_str(), record.stall_ms), (5432, "gs", 400));
+    assert_eq!(s.log, Log { form: Form::Json, level: Level::Warn });
+    assert_eq!(sound(""), Settings::default());
+}
+
+#[test]
+fn what_is_wrong_is_told_in_one_line_with_its_place_and_a_hint() {
+    let cases = [
+        ("\n\nrecord(bakend = 'sqlite')", "op.star:3:1: record: `bakend`", "did you mean `backend`?"),
+        ("recrod(backend = 'sqlite')", "op.star:1:1: `recrod`", "did you mean `record`?"),
+        ("record(backend = 'oracle')", "op.star:1:1: record: `backend` is \"oracle\"", "\"postgres\""),
+        ("record(backend = 7)", "op.star:1:1: record: `backend` is a int", "one of"),
+        ("record(backend = 'sqlite', sync = 'full')", "op.star:1:1: record: `path` is missing", "add path ="),
+        ("record(backend = 'sqlite', path = 'a', sync = 'off')", "op.star:1:1: record: `sync`", "\"full\""),
+        ("record(backend = 'sqlite', path = 'a', user = 'u')", "op.star:1:1: record: `user`", "postgres"),
+        ("record(backend = 'postgres', address = 'db')", "op.star:1:1: record: `address`", "a port"),
+        ("record(path = '')", "op.star:1:1: record: `path` is \"\"", "text"),
+        ("  log(level = 'info'", "op.star:1", "Starlark"),
+        ("log(level = 'info')\nlog(level = 'warn')", "op.star:2:1: log: is set twice", "keep one"),
+        ("log('info')", "op.star:1:1", "by name"),
+        ("record(entries = 99)", "op.star:1:1: record: `entries` is out of range", "from 100 to"),
+        ("x = 1 // 0", "op.star:1:5", "ero"),
+        ("load('other.star', 'x')", "op.star:1:1", "load"),
+        ("open('/etc/passwd')", "op.star:1:1: `open`", "there are record, log"),
+    ];
+    for (text, place, hint) in cases {
+        let e = evaluate("op.star", text.to_string()).expect_err(text).to_string();
+        assert!(e.starts_with(place) && e.contains(hint) && !e.contains('\n'), "{text}: {e}");
+    }
+}
+
+#[test]
+fn a_script_that_does_not_end_or_grows_without_bound_is_cut_off() {
+    let endless = "def f():\n    for i in range(1000000000):\n        pass\nf()";
+    let huge = "def f():\n    x = []\n    for i in range(150000):\n        x.append(str(i) * 100)\nf()";
+    let deep = "def f(n):\n    return f(n)\nf(1)";
+    for text in [endless, huge, deep] {
+        let e = evaluate("op.star", text.to_string()).expect_err(text).to_string();
+        assert!(!e.contains('\n') && e.starts_with("op.star"), "{e}");
+    }
+}
