Wire the store of record, the operators' settings and structured logs into the node

Logs go through tracing and a thread of their own (lossy, dropped lines counted), in place of 'say'. Script errors end with status 2; SIGHUP takes script and JSON as one.

--- a/crates/record/src/ledger.rs
+++ b/crates/record/src/ledger.rs
@@ -234,6 +234,13 @@
         Ledger { durable: Some(durable), ..Ledger::volatile() }
     }
 
+    /// Other bounds from now on; what is over them already stays.
+    pub fn set_limits(&mut self, limits: Limits) {
+        if let Some(d) = &mut self.durable {
+            d.limits = limits;
+        }
+    }
+
     /// Whether there is a store.
     pub fn is_durable(&self) -> bool {
         self.durable.is_some()
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,44 +3,104 @@
 
 mod node;
 
-use bpaf::{OptionParser, Parser, construct, pure};
-use node::say;
+use bpaf::{OptionParser, Parser, construct, long, pure};
+use node::config::ConfigError;
+use node::log::Logs;
+use std::io::Write as _;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// What the program is asked to do.
 #[derive(Clone, Debug)]
 enum Command {
     /// Serve until told to stop.
-    Serve,
+    Serve {
+        /// The operators' script.
+        settings: Option<PathBuf>,
+    },
     /// Say whether the configuration is sound.
-    CheckConfig,
+    CheckConfig {
+        /// The operators' script.
+        settings: Option<PathBuf>,
+        /// For programs.
+        json: bool,
+    },
     /// Print the version.
     Version,
 }
 
+/// Why the program ends at once, and with which status.
+enum Failure {
+    /// 1: the configuration or the system.
+    Start(String),
+    /// 2: the operators' script.
+    Script(String),
+}
+
+impl From<ConfigError> for Failure {
+    fn from(e: ConfigError) -> Self {
+        match e {
+            ConfigError::Told(_) => Failure::Start(e.to_string()),
+            ConfigError::Script(_) => Failure::Script(e.to_string()),
+        }
+    }
+}
+
 fn commands() -> OptionParser<Command> {
-    let serve = pure(Command::Serve)
-        .to_options()
-        .descr("Serve as one booking node, until SIGTERM and the drain that follows")
-        .command("serve");
-    let check = pure(Command::CheckConfig)
-        .to_options()
-        .descr("Read the configuration as 'serve' does and say whether it is sound")
-        .command("check-config");
+    let settings = || long("settings").help("The operators' script").argument::<PathBuf>("FILE").optional();
+    let json = long("json").help("Print JSON, for programs").switch();
+    let serve = {
+        let settings = settings();
+        construct!(Command::Serve { settings })
+            .to_options()
+            .descr("Serve as one booking node, until SIGTERM and the drain that follows")
+            .command("serve")
+    };
+    let check = {
+        let settings = settings();
+        construct!(Command::CheckConfig { settings, json })
+            .to_options()
+            .descr("Read the configuration as 'serve' does, say whether it is sound and what is in effect")
+            .command("check-config")
+    };
     let version = pure(Command::Version).to_options().descr("Print the version").command("version");
     construct!([serve, check, version])
         .to_options()
         .descr("A booking node: FastCGI requests in, admission decided, work done by the kernel")
 }
 
-fn serve() -> Result<(), String> {
-    let config = node::config::load().map_err(|e| e.to_string())?;
+fn serve(settings: Option<PathBuf>) -> Result<(), Failure> {
+    let config = node::config::load(settings.as_deref())?;
     let name = config.name.clone();
-    let mut node = node::turn::Node::start(config).map_err(|e| e.to_string())?;
+    let logs = Logs::start(config.operators.log);
+    let mut node = node::turn::Node::start(config, logs).map_err(|e| Failure::Start(e.to_string()))?;
     if let Some(address) = node.address() {
-        say(&format!("{name} listens on {address}"));
+        tracing::info!(node = name, %address, "listening");
     }
-    node.run().map_err(|e| e.to_string())
+    node.run().map_err(|e| Failure::Start(e.to_string()))
+}
+
+fn check(settings: Option<PathBuf>, json: bool) -> Result<(), Failure> {
+    let config = node::config::load(settings.as_deref())?;
+    let operators = serde_json::to_value(&config.operators).map_err(|e| Failure::Start(e.to_string()))?;
+    let (name, classes, sockets) = (&config.name, config.classes.len(), config.sockets);
+    if json {
+        let all = serde_json::json!({"name": name, "classes": config.classes, "sockets": sockets,
+            "settings": operators});
+        println!("{all}");
+        return Ok(());
+    }
+    println!("{name}: sound, {classes} classes, {sockets} sockets");
+    for (setting, fields) in operators.as_object().into_iter().flatten() {
+        match fields.as_object() {
+            None => println!("{setting}: off"),
+            Some(fields) => {
+                let fields: Vec<String> = fields.iter().map(|(k, v)| format!("{k} = {v}")).collect();
+                println!("{setting}({})", fields.join(", "));
+            }
+        }
+    }
+    Ok(())
 }
 
 fn main() -> ExitCode {
@@ -49,16 +109,15 @@
             println!("gaugestand {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::CheckConfig => node::config::load().map_err(|e| e.to_string()).map(|c| {
-            println!("{}: sound, {} classes, {} sockets", c.name, c.classes.len(), c.sockets);
-        }),
-        Command::Serve => serve(),
+        Command::CheckConfig { settings, json } => check(settings, json),
+        Command::Serve { settings } => serve(settings),
     };
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(problem) => {
-            say(&problem);
-            ExitCode::FAILURE
-        }
-    }
+    let (problem, status) = match done {
+        Ok(()) => return ExitCode::SUCCESS,
+        Err(Failure::Start(problem)) => (problem, 1),
+        Err(Failure::Script(problem)) => (problem, 2),
+    };
+    // Guards against a reader that has gone, where `eprintln` would panic.
+    let _ = writeln!(std::io::stderr(), "gaugestand: {problem}");
+    ExitCode::from(status)
 }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -4,8 +4,10 @@
 use gaugestand_core::{
     Below, Class, Controller, Effect, Halt, Settings, SettingsError, Signal, Span, Tenant, WorthBy,
 };
+use gaugestand_settings::{Backend, Settings as Operators};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::{env, fmt, fs};
 
 /// Fewest descriptors with which anything can be served: the node's own and a few connections.
@@ -40,21 +42,33 @@
     pub gauges: Vec<String>,
     /// What the decisions are told.
     pub settings: Settings,
+    /// The operators' script, where there is one.
+    pub script: Option<PathBuf>,
+    /// What it sets.
+    pub operators: Operators,
 }
 
 /// What is wrong with the configuration, in one line.
 #[derive(Debug)]
-pub struct ConfigError(String);
+pub enum ConfigError {
+    /// With the variables or the JSON file.
+    Told(String),
+    /// With the operators' script, or what it names.
+    Script(String),
+}
 
 impl fmt::Display for ConfigError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "configuration: {}", self.0)
+        match self {
+            ConfigError::Told(problem) => write!(f, "configuration: {problem}"),
+            ConfigError::Script(problem) => f.write_str(problem),
+        }
     }
 }
 
 impl From<SettingsError> for ConfigError {
     fn from(e: SettingsError) -> Self {
-        ConfigError(e.to_string())
+        ConfigError::Told(e.to_string())
     }
 }
 
@@ -181,11 +195,26 @@
 }
 
 fn wrong<T>(key: &str, why: &str) -> Result<T, ConfigError> {
-    Err(ConfigError(format!("{key}: {why}")))
+    Err(ConfigError::Told(format!("{key}: {why}")))
+}
+
+/// Reads the configuration that the environment names, and the operators' script if there is one: they count as
+/// one.
+pub fn load(script: Option<&Path>) -> Result<Config, ConfigError> {
+    let operators = script.map(gaugestand_settings::load).transpose();
+    let operators = operators.map_err(|e| ConfigError::Script(e.to_string()))?.unwrap_or_default();
+    if let Some(Backend::Postgres { password_file, .. }) = operators.record.as_ref().map(|r| &r.backend) {
+        super::record::password(password_file).map_err(ConfigError::Script)?;
+    }
+    let config = told()?;
+    if operators.record.is_some() && config.sockets < LEAST_SOCKETS + super::record::SOCKETS {
+        let least = LEAST_SOCKETS + super::record::SOCKETS;
+        return wrong("limits.sockets", &format!("must be at least {least} with a store of record"));
+    }
+    Ok(Config { operators, script: script.map(Path::to_path_buf), ..config })
 }
 
-/// Reads the configuration that the environment names.
-pub fn load() -> Result<Config, ConfigError> {
+fn told() -> Result<Config, ConfigError> {
     let Ok(path) = env::var("BALANCER_CONFIG") else { return wrong("BALANCER_CONFIG", "is not set") };
     let text = fs::read_to_string(&path).or_else(|e| wrong("BALANCER_CONFIG", &e.to_string()))?;
     let mut file: File = serde_json::from_str(&text).or_else(|e| wrong("BALANCER_CONFIG", &e.to_string()))?;
@@ -197,7 +226,7 @@
 /// Reads the configuration again. What a node cannot change while it serves must be as it was; what only tells
 /// of its start (the seed, the fleet and the callers at that time) may differ.
 pub fn reload(old: &Config) -> Result<Config, ConfigError> {
-    let new = load()?;
+    let new = load(old.script.as_deref())?;
     let told = |s: &Settings| Settings { fleet_size: 0, callers: 0, cold: false, ..s.clone() };
     let same = [
         ("name", old.name == new.name),
@@ -207,8 +236,21 @@
         ("settings.extra.gauges", old.gauges == new.gauges),
         ("settings", told(&old.settings) == told(&new.settings)),
     ];
-    match same.into_iter().find(|s| !s.1) {
-        Some((key, _)) => wrong(key, "cannot change while the node serves"),
+    if let Some((key, _)) = same.into_iter().find(|s| !s.1) {
+        return wrong(key, "cannot change while the node serves");
+    }
+    let store = |c: &Config| c.operators.record.as_ref().map(|r| (r.backend.clone(), r.entries));
+    let same = [
+        ("record", "another store would not know what this one holds", store(old) == store(&new)),
+        ("log: `form`", "its reader expects one form", old.operators.log.form == new.operators.log.form),
+    ];
+    match same.into_iter().find(|s| !s.2) {
+        Some((what, why, _)) => {
+            let script = old.script.as_deref().map_or(String::new(), |s| format!("{}: ", s.display()));
+            Err(ConfigError::Script(format!(
+                "{script}{what} cannot change while the node serves, as {why}; restart it"
+            )))
+        }
         None => Ok(new),
     }
 }
@@ -246,6 +288,8 @@
         classes: told.classes.into_iter().map(|c| c.name).collect(),
         gauges: told.extra.gauges,
         settings,
+        script: None,
+        operators: Operators::default(),
     })
 }
 
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -1,7 +1,7 @@
 //! What the node took in, sent and answered.
 
+use gaugestand_record::Figures;
 use std::fmt;
-use std::io::{self, Write};
 
 macro_rules! counters {
     ($($(#[doc = $doc:literal])+ $name:ident,)+) => {
@@ -22,10 +22,19 @@
 }
 
 impl Counters {
-    /// Writes all of them to standard error. Guards against a reader of it that has gone: what cannot be
-    /// written is left out, where `eprint` would panic.
-    pub fn print(&self) {
-        let _ = io::stderr().write_all(self.to_string().as_bytes());
+    /// Takes in how the store of record stands.
+    pub fn record(&mut self, f: Figures, open: bool) {
+        self.record_open = open.into();
+        self.record_entries = f.entries as u64;
+        self.record_bytes = f.bytes as u64;
+        self.record_waiting = f.writes as u64;
+        self.record_removals = f.removals as u64;
+        self.record_commits = f.commits;
+        self.record_committed = f.committed;
+        self.record_failures = f.failures;
+        self.record_opened = f.opened;
+        self.record_turned_away = f.turned_away;
+        self.record_in_doubt = f.in_doubt;
     }
 }
 
@@ -96,6 +105,32 @@
     reloads,
     /// New configurations that were turned down.
     reloads_failed,
+    /// 1 while the store of record is given up for now, else 0.
+    record_open,
+    /// Keys that are remembered now.
+    record_entries,
+    /// Bytes that they take now.
+    record_bytes,
+    /// Writes to the store of record that wait or are out now.
+    record_waiting,
+    /// Rows past their window that wait to be removed now.
+    record_removals,
+    /// Batches that the store of record has made durable.
+    record_commits,
+    /// Writes in them.
+    record_committed,
+    /// Batches that failed or proved nothing.
+    record_failures,
+    /// Times that the store of record was given up for a while.
+    record_opened,
+    /// First tries of keyed requests refused as the store of record could not take them.
+    record_turned_away,
+    /// Runs found at the start of which nobody knows how they ended.
+    record_in_doubt,
+    /// Connections to the store of record made.
+    record_links,
+    /// Lines of the log that nobody read in time.
+    log_lines_dropped,
     /// Reports to the membership service.
     reports_sent,
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,15 +11,10 @@
 pub mod fastcgi;
 pub mod kernel;
 pub mod link;
+pub mod log;
 pub mod members;
 pub mod poll;
+pub mod record;
 pub mod request;
 pub mod store;
 pub mod turn;
-
-use std::io::{self, Write};
-
-/// A line on standard error; the program goes on if nobody reads it.
-pub fn say(text: &str) {
-    let _ = writeln!(io::stderr(), "gaugestand: {text}");
-}
--- a/src/node/turn.rs
+++ b/src/node/turn.rs
@@ -4,19 +4,22 @@
 use super::answer::Response;
 use super::checks::Checks;
 use super::clock::Clock;
+use super::config;
 use super::config::Config;
 use super::counters::Counters;
 use super::fastcgi::{self, Record, kind};
 use super::kernel::{Command, Fate, Kernel, Notice};
 use super::link::Change;
+use super::log::Logs;
 use super::members::Members;
 use super::poll::Watched;
+use super::record::{self, Keeper};
 use super::request::{Asked, Fault, TryParams};
 use super::store::{self, Ended, Store};
-use super::{config, say};
 use gaugestand_core::facade::{Arrival, Facade, Micros, Report, RunEnd, Unfit, Verdict};
 use gaugestand_core::{RequestId, SettingsError};
-use gaugestand_record::Ledger;
+use gaugestand_record::{Breaker, Ledger};
+use gaugestand_settings::Backend;
 use polling::{Events, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::collections::BTreeMap;
@@ -32,6 +35,7 @@
 const LEAVE: usize = 2;
 const PRINT: usize = 3;
 const RELOAD: usize = 4;
+const RECORD: usize = 5;
 const FIRST_LANE: usize = 8;
 const FIRST_CONN: usize = FIRST_LANE + store::MOST_LANES;
 
@@ -48,6 +52,8 @@
     Io(&'static str, io::Error),
     /// The settings make no sense.
     Settings(SettingsError),
+    /// The store of record cannot be used.
+    Record(String),
 }
 
 impl fmt::Display for NodeError {
@@ -55,6 +61,7 @@
         match self {
             NodeError::Io(what, e) => write!(f, "{what}: {e}"),
             NodeError::Settings(e) => e.fmt(f),
+            NodeError::Record(problem) => f.write_str(problem),
         }
     }
 }
@@ -87,6 +94,8 @@
     store: Store,
     members: Members,
     facade: Facade<Ledger>,
+    record: Keeper,
+    logs: Logs,
     counters: Counters,
     tries: BTreeMap<RequestId, Place>,
     checks: Checks,
@@ -106,17 +115,30 @@
     Watched::new(poller, ours, key, true, false)
 }
 
+fn longest_window(config: &Config) -> Micros {
+    config.settings.classes.iter().map(|c| c.dedup_window).max().unwrap_or_default().into()
+}
+
 impl Node {
     /// Listens, and prepares everything else.
-    pub fn start(config: Config) -> Result<Self, NodeError> {
+    pub fn start(config: Config, logs: Logs) -> Result<Self, NodeError> {
+        let clock = Clock::new();
         let poller = Rc::new(Poller::new().map_err(io_error("poller"))?);
         let lanes = store::lanes_within(config.sockets);
-        let table = Table::listen(&poller, config.listen, LISTENER, FIRST_CONN, config.sockets - lanes)
+        // The store is read before anybody can connect.
+        let who = (config.name.as_str(), config.seed, longest_window(&config));
+        let stored = config.operators.record.as_ref();
+        let (record, ledger) =
+            Keeper::start(stored, who, RECORD, &poller, clock.moment()).map_err(NodeError::Record)?;
+        let others = lanes + if ledger.is_durable() { record::SOCKETS } else { 0 };
+        let table = Table::listen(&poller, config.listen, LISTENER, FIRST_CONN, config.sockets - others)
             .map_err(io_error("listening"))?;
-        let facade = Facade::new(config.settings.clone(), config.seed, Ledger::volatile())
-            .map_err(NodeError::Settings)?;
+        let facade =
+            Facade::new(config.settings.clone(), config.seed, ledger).map_err(NodeError::Settings)?;
         Ok(Node {
-            clock: Clock::new(),
+            clock,
+            record,
+            logs,
             kernel: Kernel::new(config.kernel, KERNEL, &poller, &config.gauges),
             store: Store::new(config.store, FIRST_LANE, lanes, &poller),
             members: Members::new(config.members, &config.name).map_err(io_error("members"))?,
@@ -157,7 +179,7 @@
             }
             wake = self.pass();
             if self.is_over() {
-                self.counters.print();
+                self.print_counters();
                 return Ok(());
             }
         }
@@ -170,6 +192,14 @@
         now.plus(GONE) >= stop && done || now >= stop
     }
 
+    fn print_counters(&mut self) {
+        let ledger = self.facade.register();
+        let open = ledger.breaker() != Breaker::Closed;
+        self.counters.record(ledger.figures(), open);
+        self.counters.log_lines_dropped = self.logs.dropped();
+        self.logs.print(&self.counters.to_string());
+    }
+
     /// What is due by now; then everything is written. Returns when to do so again.
     fn pass(&mut self) -> Micros {
         let now = self.clock.now();
@@ -189,6 +219,7 @@
         let mut verdicts = Vec::new();
         let mut wake = vec![self.facade.tick(self.clock.moment(), &mut verdicts)];
         self.carry_out(verdicts);
+        self.record.pump(self.clock.moment(), self.facade.register());
         if self.stop.is_some_and(|stop| now.plus(STOP_LISTENING) >= stop) {
             self.table.stop_listening();
         }
@@ -200,7 +231,7 @@
         let leaving = self
             .stop
             .map(|stop| stop.since(if now.plus(STOP_LISTENING) < stop { STOP_LISTENING } else { GONE }));
-        wake.extend([self.kernel.wake(), self.store.wake(), self.checks.wake(), leaving]);
+        wake.extend([self.kernel.wake(), self.store.wake(), self.checks.wake(), self.record.wake(), leaving]);
         // Nothing is looked at again at once: what is overdue then waits for something else to happen.
         wake.into_iter().flatten().min().unwrap_or(now.plus(LONGEST_WAIT)).max(now.plus(Micros(200)))
     }
@@ -220,6 +251,8 @@
             self.calls_ended(store);
             self.connections_gone(gone);
         }
+        let now = self.clock.moment();
+        self.record.flush(now, self.facade.register());
     }
 
     fn take(&mut self, event: polling::Event) {
@@ -233,12 +266,16 @@
             }
             PRINT => {
                 self.drain_signal(PRINT);
-                self.counters.print();
+                self.print_counters();
             }
             RELOAD => {
                 self.drain_signal(RELOAD);
                 self.take_configuration();
             }
+            RECORD => {
+                let (now, ready) = (self.clock.moment(), (event.readable, event.writable));
+                self.record.ready(now, ready, self.facade.register(), &mut self.counters);
+            }
             key if self.store.has_key(key) => {
                 let ended = self.store.ready(now, event, &mut self.counters);
                 self.calls_ended(ended);
@@ -281,7 +318,7 @@
         match moved {
             Err(problem) => {
                 self.counters.reloads_failed += 1;
-                say(&format!("{problem}; the old configuration stays"));
+                tracing::warn!(problem, "the old configuration stays");
             }
             Ok(new) => {
                 self.counters.reloads += 1;
@@ -289,12 +326,25 @@
                     self.report(Report::Link(false));
                 }
                 self.store.move_to(new.store);
+                self.take_operators(&new);
                 self.config = new;
-                say("the new configuration is in effect");
+                tracing::info!("the new configuration is in effect");
             }
         }
     }
 
+    /// What of the operators' settings can change while the node serves; none of it can fail.
+    fn take_operators(&mut self, new: &Config) {
+        self.logs.set_level(new.operators.log.level);
+        let Some(stored) = &new.operators.record else { return };
+        if let Backend::Postgres { password_file, .. } = &stored.backend
+            && let Ok(password) = record::password(password_file)
+        {
+            self.record.set_password(password);
+        }
+        self.facade.register().set_limits(record::limits(stored, longest_window(new)));
+    }
+
     // ---- Connections of gateways ---------------------------------------------------------------------
 
     fn take_conn(&mut self, id: ConnId, readable: bool) {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -92,7 +92,7 @@
         let mut said = BufReader::new(said);
         let mut line = String::new();
         said.read_line(&mut line).expect("a first line");
-        let address = line.trim().rsplit(' ').next().unwrap_or_default().to_string();
+        let address = line.trim().rsplit(['=', ' ']).next().unwrap_or_default().to_string();
         Scene { child, said, config, text, address, kernel, store, members }
     }
 
