--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -5,11 +5,13 @@
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
+use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Longest that any test waits for anything: far beyond what it takes.
@@ -50,15 +52,42 @@
 
 /// The program with a place of its own for its configuration.
 pub fn program(config: &Value, subcommand: &str) -> (Command, PathBuf) {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let name = format!("gaugestand-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let path = std::env::temp_dir().join(name);
+    let path = place("json");
     std::fs::write(&path, config.to_string()).expect("a configuration file");
+    (command(&path, subcommand), path)
+}
+
+/// A path of this test's own.
+pub fn place(extension: &str) -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("gaugestand-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    std::env::temp_dir().join(name).with_extension(extension)
+}
+
+fn command(config: &Path, subcommand: &str) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_gaugestand"));
-    command.arg(subcommand).env("BALANCER_CONFIG", &path);
+    command.arg(subcommand).env("BALANCER_CONFIG", config);
     command.env_remove("BALANCER_NAME").env_remove("BALANCER_LISTEN");
     command.stdout(Stdio::piped()).stderr(Stdio::piped());
-    (command, path)
+    command
+}
+
+/// Starts the program on a configuration and waits until it listens.
+fn serve(config: &Path, script: Option<&Path>) -> (Child, BufReader<Box<dyn Read>>, String) {
+    let mut command = command(config, "serve");
+    command.args(script.iter().flat_map(|s| [OsStr::new("--settings"), s.as_os_str()]));
+    let mut child = command.spawn().expect("the program starts");
+    let said: Box<dyn Read> = Box::new(child.stderr.take().expect("piped"));
+    let mut said = BufReader::new(said);
+    loop {
+        let mut line = String::new();
+        if said.read_line(&mut line).expect("a first line") == 0 {
+            panic!("it ended at once: {:?}", child.wait());
+        }
+        if let Some((_, address)) = line.trim().split_once("address=") {
+            return (child, said, address.to_string());
+        }
+    }
 }
 
 /// The node and the listeners of all its peers.
@@ -66,6 +95,7 @@
     child: Child,
     said: BufReader<Box<dyn Read>>,
     config: PathBuf,
+    script: Option<PathBuf>,
     text: Value,
     pub address: String,
     pub kernel: TcpListener,
@@ -76,6 +106,11 @@
 impl Scene {
     /// Starts the program; `change` may alter its configuration.
     pub fn new(change: impl FnOnce(&mut Value)) -> Self {
+        Scene::with(None, change)
+    }
+
+    /// The same with the operators' script.
+    pub fn with(script: Option<&str>, change: impl FnOnce(&mut Value)) -> Self {
         let kernel = TcpListener::bind("127.0.0.1:0").expect("a port");
         // Bound but not listening: connections are refused until a test lets it listen.
         let store = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
@@ -86,14 +121,38 @@
         let store_port = store.local_addr().ok().and_then(|a| a.as_socket()).expect("bound").port();
         let mut text = config(port(kernel.local_addr()), store_port, port(members.local_addr()));
         change(&mut text);
-        let (mut command, config) = program(&text, "serve");
-        let mut child = command.spawn().expect("the program starts");
-        let said: Box<dyn Read> = Box::new(child.stderr.take().expect("piped"));
-        let mut said = BufReader::new(said);
-        let mut line = String::new();
-        said.read_line(&mut line).expect("a first line");
-        let address = line.trim().rsplit(['=', ' ']).next().unwrap_or_default().to_string();
-        Scene { child, said, config, text, address, kernel, store, members }
+        let (config, script) = (place("json"), script.map(|text| (place("star"), text)));
+        std::fs::write(&config, text.to_string()).expect("a configuration file");
+        let script = script.map(|(path, text)| {
+            std::fs::write(&path, text).expect("a script");
+            path
+        });
+        let (child, said, address) = serve(&config, script.as_deref());
+        Scene { child, said, config, script, text, address, kernel, store, members }
+    }
+
+    /// Kills the program outright and starts it again, with the same configuration and peers.
+    pub fn restart(&mut self) {
+        self.restart_with(|| ());
+    }
+
+    /// The same, with something done in between.
+    pub fn restart_with(&mut self, between: impl FnOnce()) {
+        self.child.kill().expect("it can be killed");
+        let _ = self.child.wait();
+        between();
+        (self.child, self.said, self.address) = serve(&self.config, self.script.as_deref());
+    }
+
+    /// Puts another script in place of the present one, and tells the program.
+    pub fn reload_script(&self, text: &str) {
+        std::fs::write(self.script.as_ref().expect("a script"), text).expect("written");
+        self.signal("-HUP");
+    }
+
+    /// The program's id, for what the system tells of it.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
     }
 
     /// A scene whose kernel is linked and up.
@@ -194,6 +253,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        self.script.iter().for_each(|s| drop(std::fs::remove_file(s)));
     }
 }
 
@@ -275,6 +335,66 @@
     }
 }
 
+/// A kernel that does at once whatever it is asked, for one life of the node after the other. The result of a run
+/// is the body and the number of the run among all, so that no two are alike.
+#[derive(Clone, Default)]
+pub struct AutoKernel {
+    runs: Arc<Mutex<Vec<(String, String)>>>,
+}
+
+impl AutoKernel {
+    /// Serves on this listener until the test ends.
+    pub fn serve(listener: &TcpListener) -> Self {
+        let kernel = AutoKernel::default();
+        let (listener, served) = (listener.try_clone().expect("a copy"), kernel.clone());
+        std::thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                let served = served.clone();
+                std::thread::spawn(move || served.link(stream));
+            }
+        });
+        kernel
+    }
+
+    fn link(&self, stream: TcpStream) {
+        let Ok(copy) = stream.try_clone() else { return };
+        let (mut lines, mut cursor) = (BufReader::new(copy), 0);
+        let mut stream = stream;
+        let mut line = String::new();
+        // The node may be killed at any point: then its link ends, in the middle of a line or not.
+        while matches!(lines.read_line(&mut line), Ok(n) if n > 0) {
+            let Ok(command) = serde_json::from_str::<Value>(&line) else { return };
+            line.clear();
+            let notice = match command["event"].as_str() {
+                Some("OPEN") => json!({"event": "BOOTED", "fate": "old", "lasted": 5}),
+                Some("SYSINFO") => {
+                    json!({"event": "INFO", "ticket": command["ticket"], "figures": [0.1, 0.0, 0.1, 3.0]})
+                }
+                Some("SCHED") => {
+                    let body = STANDARD.decode(command["arg"].as_str().unwrap_or("")).expect("base64");
+                    let body = String::from_utf8(body).expect("text");
+                    cursor += 1;
+                    let mut runs = self.runs.lock().expect("no test thread has panicked");
+                    let result = format!("{body}#{}", runs.len());
+                    runs.push((body, result.clone()));
+                    json!({"event": "REAP", "cursor": cursor, "handle": command["handle"], "fate": "good",
+                        "lasted": 1, "arg": STANDARD.encode(result)})
+                }
+                _ => continue,
+            };
+            if stream.write_all(format!("{notice}\n").as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Results of the runs of this body, in order.
+    pub fn results(&self, body: &str) -> Vec<String> {
+        let runs = self.runs.lock().expect("no test thread has panicked");
+        runs.iter().filter(|(b, _)| b == body).map(|(_, r)| r.clone()).collect()
+    }
+}
+
 /// The store's side of its link.
 pub struct StorePeer {
     lines: BufReader<TcpStream>,
@@ -405,6 +525,20 @@
         self.answer()
     }
 
+    /// A try of a keyed request and its answer; an error if the connection ends first.
+    pub fn book(&mut self, txn: &str, key: &str, body: &str) -> std::io::Result<(String, Vec<u8>)> {
+        let records = try_records(1, "booking", txn, &[("HTTP_X_TXN_KEY", key)], body.as_bytes());
+        self.stream.write_all(&records)?;
+        let answer = self.read_answer()?;
+        Ok((answer.status[..3].to_string(), answer.body))
+    }
+
+    /// A read and the status of its answer; an error if the connection ends first.
+    pub fn read(&mut self, txn: &str) -> std::io::Result<String> {
+        self.stream.write_all(&try_records(1, "quote", txn, &[], b"q"))?;
+        Ok(self.read_answer()?.status[..3].to_string())
+    }
+
     /// Reads one record.
     pub fn record(&mut self) -> std::io::Result<(u8, u16, Vec<u8>)> {
         let mut head = [0; 8];
@@ -418,9 +552,13 @@
 
     /// Reads the next answer; answers of several requests never mix here.
     pub fn answer(&mut self) -> Answer {
+        self.read_answer().expect("an answer")
+    }
+
+    fn read_answer(&mut self) -> std::io::Result<Answer> {
         let mut out = Vec::new();
         let (id, protocol_status) = loop {
-            match self.record().expect("an answer") {
+            match self.record()? {
                 (6, _, content) => out.extend(content),
                 (3, id, content) => break (id, content[4]),
                 other => panic!("record {other:?}"),
@@ -434,7 +572,8 @@
             .map(|(n, v)| (n.to_string(), v.to_string()))
             .collect();
         let status = if fields.is_empty() { String::new() } else { fields.remove(0).1 };
-        Answer { id, protocol_status, status, fields, body: out.get(end + 4..).unwrap_or_default().to_vec() }
+        let body = out.get(end + 4..).unwrap_or_default().to_vec();
+        Ok(Answer { id, protocol_status, status, fields, body })
     }
 
     /// True if the node closes the connection with nothing more on it.
