--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -3,11 +3,13 @@
 //! [`ledger`] decides: what must be durable before a run begins or an answer goes out, what a repeat gets, and
 //! what becomes of all that when a store stalls, breaks or comes back. It does no I/O and reads no clock.
 //! [`row`] is what it says to a backend and hears from it. [`sqlite`] is one backend, with [`worker`] as the
-//! thread that it blocks; [`postgres`] is the other, as bytes in and bytes out.
+//! thread that it blocks; [`postgres`] is the other, as bytes in and bytes out;
+//! [`remote`] drives it for a command line.
 #![forbid(unsafe_code)]
 
 pub mod ledger;
 pub mod postgres;
+pub mod remote;
 pub mod row;
 pub mod sqlite;
 pub mod worker;
--- a/crates/record/src/postgres.rs
+++ b/crates/record/src/postgres.rs
@@ -211,6 +211,8 @@
     /// The epoch of this life, once it has one.
     epoch: Option<u64>,
     most_rows: usize,
+    /// Only looks: the name is not taken, so that a node that has it goes on undisturbed.
+    looks: bool,
     step: Step,
     input: BytesMut,
     output: BytesMut,
@@ -234,7 +236,13 @@
             ("client_encoding", "UTF8"),
         ];
         frontend::startup_message(parameters, &mut output).map_err(|e| Fault(format!("login: {e}")))?;
-        Ok(Session { login, epoch, most_rows, step: Step::Hello, input: BytesMut::new(), output })
+        let (step, input, looks) = (Step::Hello, BytesMut::new(), false);
+        Ok(Session { login, epoch, most_rows, looks, step, input, output })
+    }
+
+    /// A session that reads a node's rows beside that node, or removes old ones; it can make no batch.
+    pub fn look(login: Rc<Login>) -> Result<Self, Fault> {
+        Ok(Session { looks: true, ..Session::new(login, None, usize::MAX)? })
     }
 
     /// The epoch of this life, once the name is taken.
@@ -480,6 +488,9 @@
                 ));
             }
             // "Undefined table": there is nothing yet.
+            Step::Version(None, Some(r)) if r.code == "42P01" && self.looks => {
+                return fault("there are no tables of a store of record");
+            }
             Step::Version(None, Some(r)) if r.code == "42P01" => {
                 frontend::query(sql::SCHEMA, &mut self.output).map_err(garbled)?;
                 self.step = Step::Schema(None);
@@ -491,6 +502,7 @@
             Step::Schema(Some(r)) => return refused("its tables cannot be made", r),
             Step::Schema(None) => self.ask_version()?,
             Step::Prepare(Some(r)) => return refused("its tables are not as they should be", r),
+            Step::Prepare(None) if self.looks => self.load(Recovery::default(), String::new())?,
             Step::Prepare(None) if self.epoch.is_some() => return Ok(Some(Event::Ready(None))),
             Step::Prepare(None) => {
                 let login = self.login.clone();
@@ -509,7 +521,7 @@
                 if page == PAGE && !over {
                     self.load(recovery, last)?;
                 } else {
-                    self.epoch = Some(recovery.epoch);
+                    self.epoch = Some(recovery.epoch).filter(|_| !self.looks);
                     return Ok(Some(Event::Ready(Some(recovery))));
                 }
             }
--- a/crates/record/src/sqlite.rs
+++ b/crates/record/src/sqlite.rs
@@ -27,6 +27,7 @@
         stamp INTEGER NOT NULL,
         state INTEGER NOT NULL CHECK(state BETWEEN 0 AND 2),
         result BLOB,
+        sum BLOB NOT NULL,
         CHECK((state = 1) = (result IS NOT NULL))
     ) STRICT;
     PRAGMA application_id = 0x67737464;
@@ -288,11 +289,11 @@
                 let result =
                     if let State::Good(result) = &row.state { Some(result.as_slice()) } else { None };
                 let mut put = self.connection.prepare_cached(
-                    "INSERT INTO record(key, holder, print, ran, until, stamp, state, result)
-                     VALUES(?1, ?2, ?3, ?4, ?5, ?6, ?7, ?8)
+                    "INSERT INTO record(key, holder, print, ran, until, stamp, state, result, sum)
+                     VALUES(?1, ?2, ?3, ?4, ?5, ?6, ?7, ?8, ?9)
                      ON CONFLICT(key) DO UPDATE SET holder = excluded.holder, print = excluded.print,
                          ran = excluded.ran, until = excluded.until, stamp = excluded.stamp,
-                         state = excluded.state, result = excluded.result
+                         state = excluded.state, result = excluded.result, sum = excluded.sum
                      WHERE excluded.stamp > record.stamp
                          OR excluded.stamp = record.stamp AND record.state = 0",
                 )?;
@@ -304,7 +305,8 @@
                     row.until as i64,
                     row.stamp as i64,
                     row.state.code(),
-                    result
+                    result,
+                    sum(row).as_slice()
                 ])?;
             }
             Write::Remove { key, stamp } => {
@@ -335,13 +337,30 @@
     }
 }
 
-const COLUMNS: &str = "SELECT key, holder, print, ran, until, stamp, state, result FROM record";
+const COLUMNS: &str = "SELECT key, holder, print, ran, until, stamp, state, result, sum FROM record";
+
+/// What shows that a row is as it was written: a damaged page can hold a value that SQLite finds nothing wrong with.
+fn sum(row: &Row) -> [u8; 8] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(row.key.as_bytes());
+    hasher.update(&row.holder.to_be_bytes());
+    hasher.update(&row.print.to_be_bytes());
+    for n in [row.ran, row.until, row.stamp, row.state.code() as u64] {
+        hasher.update(&n.to_be_bytes());
+    }
+    if let State::Good(result) = &row.state {
+        hasher.update(result);
+    }
+    let mut sum = [0; 8];
+    sum.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    sum
+}
 
 fn row_of(r: &rusqlite::Row<'_>) -> rusqlite::Result<Row> {
     let number = |i: usize| r.get::<_, [u8; 16]>(i).map(u128::from_be_bytes);
     let state =
         State::of(r.get(6)?, r.get(7)?).ok_or(rusqlite::Error::IntegralValueOutOfRange(6, r.get(6)?))?;
-    Ok(Row {
+    let row = Row {
         key: r.get(0)?,
         holder: number(1)?,
         print: number(2)?,
@@ -349,7 +368,15 @@
         until: r.get::<_, i64>(4)? as u64,
         stamp: r.get::<_, i64>(5)? as u64,
         state,
-    })
+    };
+    if r.get::<_, [u8; 8]>(8)? == sum(&row) {
+        return Ok(row);
+    }
+    let corrupt = rusqlite::ffi::Error::new(rusqlite::ffi::SQLITE_CORRUPT);
+    Err(rusqlite::Error::SqliteFailure(
+        corrupt,
+        Some(format!("the row of {} is not as it was written", row.key)),
+    ))
 }
 
 /// Shows all rows to `each`, one at a time.
--- a/crates/standins/src/postgres.rs
+++ b/crates/standins/src/postgres.rs
@@ -400,7 +400,7 @@
         let (_, first) = self.message()?;
         let bare = first.windows(3).position(|w| w == b"n,,").map(|at| first[at + 3..].to_vec());
         let Some(bare) = bare else { return broken() };
-        let nonce = bare.rsplit(|b| *b == b'=').next().unwrap_or_default();
+        let nonce = bare.windows(3).position(|w| w == b",r=").map(|at| &bare[at + 3..]).unwrap_or_default();
         let nonce = format!("{}standin", String::from_utf8_lossy(nonce));
         let server_first = format!("r={nonce},s={},i={ROUNDS}", STANDARD.encode(SALT));
         self.say(b'R', &[&[0, 0, 0, 11], server_first.as_bytes()].concat());
