--- a/crates/record/src/ledger.rs
+++ b/crates/record/src/ledger.rs
@@ -284,6 +284,9 @@
                 State::Failed => Phase::Failed,
             };
             self.figures.bytes += bytes(&key, &phase);
+            // The window that it was made with may have been longer than today's.
+            let window = d.limits.window.max(Micros(row.until.saturating_sub(row.ran)));
+            let until = now.plus(window);
             let wall = until.wall.max(Micros(row.until));
             let entry = Entry {
                 holder: RequestId(row.holder),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -245,8 +245,9 @@
         anyhow::bail!("record: `{name}` belongs to backend = \"{other}\"; leave it out");
     }
     let backend = if sqlite {
+        let path = v.must("path")?.into();
         let sync = if v.must("sync")? == "extra" { Sync::Extra } else { Sync::Full };
-        Backend::Sqlite { path: v.must("path")?.into(), sync }
+        Backend::Sqlite { path, sync }
     } else {
         Backend::Postgres {
             address: v.must("address")?.parse()?,
--- a/src/node/turn.rs
+++ b/src/node/turn.rs
@@ -17,7 +17,7 @@
 use super::request::{Asked, Fault, TryParams};
 use super::store::{self, Ended, Store};
 use gaugestand_core::facade::{Arrival, Facade, Micros, Report, RunEnd, Unfit, Verdict};
-use gaugestand_core::{RequestId, SettingsError};
+use gaugestand_core::{Effect, RequestId, SettingsError};
 use gaugestand_record::{Breaker, Ledger};
 use gaugestand_settings::Backend;
 use polling::{Events, Poller};
@@ -116,7 +116,8 @@
 }
 
 fn longest_window(config: &Config) -> Micros {
-    config.settings.classes.iter().map(|c| c.dedup_window).max().unwrap_or_default().into()
+    let keyed = config.settings.classes.iter().filter(|c| c.effect == Effect::Keyed);
+    keyed.map(|c| c.dedup_window).max().unwrap_or_default().into()
 }
 
 impl Node {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -209,6 +209,17 @@
         line
     }
 
+    /// Reads on until a line on standard error that contains this.
+    pub fn await_said(&mut self, words: &str) {
+        loop {
+            let line = self.said();
+            assert!(!line.is_empty(), "standard error ended before {words}");
+            if line.contains(words) {
+                return;
+            }
+        }
+    }
+
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(status.expect("kill runs").success());
--- a/tests/record.rs
+++ b/tests/record.rs
@@ -444,3 +444,180 @@
 fn two_hundred_kills() {
     kills(200, 600, 11);
 }
+
+/// A booking whose run has ended and whose outcome the store does not take.
+fn stalled(store: &mut Store, txn: &str) -> (Scene, Kernel, Gateway) {
+    let scene = store.scene();
+    let mut kernel = scene.link();
+    await_good(&scene);
+    let mut gateway = scene.gateway();
+    book(&mut gateway, 1, txn);
+    kernel.expect("SCHED", txn);
+    store.stall();
+    kernel.reap(txn, "good", b"booked");
+    if let Store::Postgres { server, .. } = store {
+        server.await_stall();
+    }
+    (scene, kernel, gateway)
+}
+
+/// Hard case 4, the drain.
+#[test]
+fn a_drain_with_a_write_out_answers_with_the_result_if_it_comes_through_and_ends_in_time_either_way() {
+    for comes in [true, false] {
+        for mut store in Store::both() {
+            let (mut scene, _kernel, mut gateway) = stalled(&mut store, A);
+            let began = Instant::now();
+            scene.signal("-TERM");
+            // The drain is under way once checks say so.
+            while scene.gateway().check("").status == "200 OK" {
+                assert!(began.elapsed() < PATIENCE, "no drain");
+            }
+            if comes {
+                store.release();
+                assert_eq!(status(&gateway.answer()), (1, "200", &b"booked"[..]));
+                assert_eq!(store.row(KEY, |_| true).0, 1);
+            } else {
+                assert_eq!(status(&gateway.answer()), (1, "500", &b""[..]));
+            }
+            assert!(scene.ended_well());
+            // It ends shortly before it is stopped, 4 s after the notice.
+            assert!(began.elapsed() < Duration::from_millis(4_000), "{:?}", began.elapsed());
+        }
+    }
+}
+
+/// Hard case 4, the reload, and both at once.
+#[test]
+fn a_reload_during_a_stall_changes_bounds_and_no_store_and_loses_nothing() {
+    for drains in [false, true] {
+        for mut store in Store::both() {
+            let (mut scene, _kernel, mut gateway) = stalled(&mut store, A);
+            let script = store.script();
+            let other = "record(backend = \"sqlite\", path = \"/elsewhere.db\", sync = \"full\")";
+            let cases = [
+                (other.to_string(), "record cannot change while the node serves"),
+                (String::new(), "record cannot change while the node serves"),
+                (
+                    script.replace("record(", "record(stall_ms = 9, "),
+                    "`stall_ms` is out of range; a whole number",
+                ),
+                (format!("{script}\nlog(form = \"json\")"), "log: `form` cannot change"),
+                (script.replace("record(", "record(stall_ms = 400, "), "the new configuration is in effect"),
+            ];
+            if drains {
+                scene.signal("-TERM");
+            }
+            for (text, said) in cases {
+                scene.reload_script(&text);
+                scene.await_said(said);
+            }
+            store.release();
+            assert_eq!(status(&gateway.answer()), (1, "200", &b"booked"[..]));
+            if drains {
+                assert!(scene.ended_well());
+            }
+        }
+    }
+}
+
+/// Hard case 5 on the real program: the window counts from the ingress that the request states.
+#[test]
+fn a_repeat_past_the_window_runs_again_and_one_within_does_not_before_and_after_a_restart() {
+    for store in Store::both() {
+        let window = |text: &mut Value| {
+            short(text);
+            text["settings"]["classes"][1]["dedup-window"] = 1_500_000_000u64.into();
+        };
+        let mut scene = Scene::with(Some(&store.script()), window);
+        let mut kernel = scene.link();
+        await_good(&scene);
+        let mut gateway = scene.gateway();
+        let began = Instant::now();
+        book(&mut gateway, 1, A);
+        kernel.expect("SCHED", A);
+        kernel.reap(A, "good", b"first");
+        assert_eq!(status(&gateway.answer()), (1, "200", &b"first"[..]));
+        book(&mut gateway, 2, B);
+        assert_eq!(status(&gateway.answer()), (2, "200", &b"first"[..]));
+        thread::sleep(Duration::from_millis(1_700).saturating_sub(began.elapsed()));
+        book(&mut gateway, 3, C);
+        kernel.expect("SCHED", C);
+        kernel.reap(C, "good", b"second");
+        assert_eq!(status(&gateway.answer()), (3, "200", &b"second"[..]));
+        // After a restart what is there binds for a window from then on: longer, never shorter.
+        scene.restart();
+        let mut kernel = scene.link();
+        await_good(&scene);
+        let (mut gateway, began) = (scene.gateway(), Instant::now());
+        book(&mut gateway, 1, D);
+        assert_eq!(status(&gateway.answer()), (1, "200", &b"second"[..]));
+        thread::sleep(Duration::from_millis(1_700).saturating_sub(began.elapsed()));
+        book(&mut gateway, 2, A);
+        kernel.expect("SCHED", A);
+    }
+}
+
+/// Hard case 7 with a database: no room, then room again; only reads, then writes again.
+#[test]
+fn a_database_that_takes_no_writes_costs_keyed_requests_alone_and_is_used_again_when_it_does() {
+    let [_, store] = Store::both();
+    let Store::Postgres { server, .. } = &store else { panic!("the second is the database") };
+    let mut scene = store.scene();
+    let mut kernel = scene.link();
+    await_good(&scene);
+    let mut gateway = scene.gateway();
+    for (id, code, first, second) in [(1, "53100", A, B), (2, "25006", C, D)] {
+        server.failing(Some(code));
+        gateway.send(&try_records(id, "booking", first, &[("HTTP_X_TXN_KEY", code)], b"b"));
+        let answer = gateway.answer();
+        assert_eq!(status(&answer), (id, "503", &b""[..]));
+        assert!(answer.field("X-Throttle-Ms").is_some());
+        scene.await_said(if code == "53100" { "cause=\"full\"" } else { "cause=\"read-only\"" });
+        let read = format!("{id:016x}");
+        gateway.request(id, "quote", &read, b"q");
+        kernel.expect("SCHED", &read);
+        kernel.reap(&read, "good", b"read");
+        assert_eq!(status(&gateway.answer()), (id, "200", &b"read"[..]));
+        server.failing(None);
+        while scene.counter("record_open") == 1 {
+            thread::sleep(Duration::from_millis(5));
+        }
+        gateway.send(&try_records(id, "booking", second, &[("HTTP_X_TXN_KEY", code)], b"b"));
+        kernel.expect("SCHED", second);
+        kernel.reap(second, "good", b"booked");
+        assert_eq!(status(&gateway.answer()), (id, "200", &b"booked"[..]));
+        // A line a second at most tells of it; the next case waits for its own.
+        thread::sleep(Duration::from_millis(1_100));
+    }
+}
+
+#[test]
+fn a_store_that_cannot_be_used_ends_the_start_with_one_line_and_a_script_with_status_two() {
+    let path = place("db");
+    std::fs::write(&path, "not a database, but long enough to look at; ".repeat(40)).expect("written");
+    let store = Store::Sqlite { path, lock: None };
+    let [_, postgres] = Store::both();
+    let missing = postgres.script().replace(".pass", ".none");
+    let cases = [
+        (store.script(), "serve", 1, "is damaged"),
+        (missing, "serve", 2, "password file"),
+        (
+            "record(backend = \"sqlite\")".into(),
+            "check-config",
+            2,
+            ":1:1: record: `path` is missing; add path",
+        ),
+        ("record(".into(), "serve", 2, "the script is Starlark"),
+    ];
+    for (script, subcommand, code, words) in cases {
+        let (mut command, config) = program(&config(1, 2, 3), subcommand);
+        let settings = place("star");
+        std::fs::write(&settings, script).expect("written");
+        let out = command.arg("--settings").arg(&settings).output().expect("the program runs");
+        let said = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert_eq!(out.status.code(), Some(code), "{said}");
+        assert!(said.contains(words) && said.lines().count() == 1, "{said}");
+        let _ = (std::fs::remove_file(settings), std::fs::remove_file(config));
+    }
+}
