Add 'gaugestand record' and a bench of what the store of record costs

Operators need to look at a store, and figures need a place in the repository. 'record check|list|stats|prune [--json]' reads beside a running node (a database without taking its name) and prunes what is not in use; shown for both backends. benches/record.rs measures throughput, latency, stalls, recovery, memory and CPU against an earlier build.

--- /dev/null
+++ b/benches/record.rs
@@ -0,0 +1,342 @@
+//! What the store of record costs: throughput, latency, stalls, recovery, memory, and CPU where it is off.
+//!
+//! `cargo bench --bench record -- [throughput|stall|recovery|cpu|memory]`. For `cpu` and `memory`,
+//! GAUGESTAND_BEFORE names an earlier build to compare with. Figures go into docs/design/record.md.
+
+#[path = "../tests/peers/mod.rs"]
+mod peers;
+
+use gaugestand_record::postgres::Login;
+use gaugestand_record::remote::Remote;
+use gaugestand_record::row::{Batch, Outcome, Row, State, Work, Write};
+use gaugestand_record::sqlite::{Options, Sqlite};
+use gaugestand_standins::postgres::Postgres;
+use hdrhistogram::Histogram;
+use peers::*;
+use rusqlite::Connection;
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Lines for a node that takes in as much as it gets: the cap is not what is measured here.
+fn wide(text: &mut Value) {
+    text["limits"]["sockets"] = 1024.into();
+    text["settings"]["extra"]["cores"] = 512.into();
+    text["settings"]["extra"]["heap-kb"] = 900_000.0.into();
+    text["settings"]["extra"]["key-kb"] = 0.01.into();
+    for class in 0..2 {
+        text["settings"]["classes"][class]["hard-limit"] = 20_000_000_000u64.into();
+        text["settings"]["classes"][class]["goal-time"] = 15_000_000_000u64.into();
+    }
+}
+
+enum Store {
+    Off,
+    Sqlite(PathBuf),
+    Postgres(Postgres, PathBuf),
+}
+
+impl Store {
+    fn name(&self) -> &'static str {
+        match self {
+            Store::Off => "off",
+            Store::Sqlite(_) => "sqlite",
+            Store::Postgres(..) => "postgres",
+        }
+    }
+
+    fn all() -> [Store; 3] {
+        let password = place("pass");
+        std::fs::write(&password, "pw").expect("written");
+        // On the disk that the build is on: a folder in memory would show nothing of what a commit costs.
+        let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(place("db").file_name().expect("a name"));
+        [Store::Off, Store::Sqlite(file), Store::Postgres(Postgres::start("pw").expect("listens"), password)]
+    }
+
+    fn script(&self, more: &str) -> Option<String> {
+        match self {
+            Store::Off => None,
+            Store::Sqlite(path) => Some(format!(
+                "record(backend = \"sqlite\", path = \"{}\", sync = \"full\"{more})",
+                path.display()
+            )),
+            Store::Postgres(server, password) => Some(format!(
+                "record(backend = \"postgres\", address = \"{}\", database = \"d\", user = \"u\", \
+                 password_file = \"{}\"{more})",
+                server.address(),
+                password.display()
+            )),
+        }
+    }
+
+    fn scene(&self, more: &str) -> Scene {
+        Scene::with(self.script(more).as_deref(), wide)
+    }
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        match self {
+            Store::Off => {}
+            Store::Sqlite(path) => ["", "-wal", "-shm", ".lock"]
+                .iter()
+                .for_each(|end| drop(std::fs::remove_file(format!("{}{end}", path.display())))),
+            Store::Postgres(_, password) => drop(std::fs::remove_file(password)),
+        }
+    }
+}
+
+fn await_good(scene: &Scene) {
+    while scene.gateway().check("").status != "200 OK" {
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// An id that no request of this program had before.
+fn txn() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Bookings from so many clients, each with one out, for a while; returns how many a second and their latencies.
+fn bookings(scene: &Scene, clients: usize, time: Duration) -> (f64, Histogram<u64>) {
+    let began = Instant::now();
+    let mut all = Histogram::new(3).expect("three digits");
+    thread::scope(|scope| {
+        let clients: Vec<_> = (0..clients)
+            .map(|_| {
+                let address = scene.address.clone();
+                scope.spawn(move || {
+                    let (mut gateway, mut mine) =
+                        (Gateway::to(&address), Histogram::<u64>::new(3).expect("three digits"));
+                    while began.elapsed() < time {
+                        let sent = Instant::now();
+                        let txn = txn();
+                        let (status, _) = gateway.book(&txn, &format!("k{txn}"), "b").expect("an answer");
+                        if status == "200" {
+                            mine.saturating_record(sent.elapsed().as_micros() as u64);
+                        }
+                    }
+                    mine
+                })
+            })
+            .collect();
+        for client in clients {
+            all.add(client.join().expect("a client")).expect("alike");
+        }
+    });
+    (all.len() as f64 / began.elapsed().as_secs_f64(), all)
+}
+
+fn throughput() {
+    println!("store     out  bookings/s   p50 us   p99 us");
+    for store in Store::all() {
+        for clients in [1, 16, 256] {
+            let scene = store.scene("");
+            let _kernel = AutoKernel::serve(&scene.kernel);
+            await_good(&scene);
+            let mut runs: Vec<(f64, u64, u64)> = (0..3)
+                .map(|_| {
+                    let (rate, h) = bookings(&scene, clients, Duration::from_secs(2));
+                    (rate, h.value_at_quantile(0.5), h.value_at_quantile(0.99))
+                })
+                .collect();
+            runs.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let (rate, p50, p99) = runs[1];
+            println!(
+                "{:8} {clients:4} {rate:11.0} {p50:8} {p99:8}   (rates {:.0} to {:.0})",
+                store.name(),
+                runs[0].0,
+                runs[2].0
+            );
+        }
+    }
+}
+
+/// Round trips of reads at a steady pace for so long.
+fn reads(scene: &Scene, time: Duration) -> Histogram<u64> {
+    let (mut gateway, began) = (scene.gateway(), Instant::now());
+    let mut all = Histogram::new(3).expect("three digits");
+    while began.elapsed() < time {
+        let sent = Instant::now();
+        assert_eq!(gateway.read(&txn()).expect("an answer"), "200");
+        all.saturating_record(sent.elapsed().as_micros() as u64);
+        thread::sleep(Duration::from_millis(2));
+    }
+    all
+}
+
+fn stall() {
+    let [_, store, _] = Store::all();
+    let Store::Sqlite(path) = &store else { return };
+    let scene = store.scene("");
+    let _kernel = AutoKernel::serve(&scene.kernel);
+    await_good(&scene);
+    reads(&scene, Duration::from_secs(1));
+    let mut ratios = Vec::new();
+    for _ in 0..5 {
+        let free = reads(&scene, Duration::from_secs(2));
+        let lock = Connection::open(path).expect("a connection");
+        lock.busy_timeout(Duration::from_secs(5)).expect("set");
+        lock.execute_batch("BEGIN IMMEDIATE").expect("the lock");
+        // A booking finds out, so that the store is probed all the while.
+        let refused = scene.gateway().book(&txn(), "stall", "b").expect("an answer").0;
+        let held = reads(&scene, Duration::from_secs(2));
+        drop(lock);
+        let p99 = |h: &Histogram<u64>| h.value_at_quantile(0.99);
+        println!("reads p99: free {} us, store held {} us; booking {refused}", p99(&free), p99(&held));
+        ratios.push(p99(&held) as f64 / p99(&free) as f64);
+        await_closed();
+    }
+    ratios.sort_by(f64::total_cmp);
+    println!("ratio of p99, median of 5: {:.3} ({:.3} to {:.3})", ratios[2], ratios[0], ratios[4]);
+}
+
+/// The longest wait between two probes.
+fn await_closed() {
+    thread::sleep(Duration::from_millis(3_100));
+}
+
+/// Resident memory of the program, and its peak, in kB.
+fn memory_of(pid: u32) -> (u64, u64) {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a process");
+    let get = |name: &str| {
+        let line = text.lines().find(|l| l.starts_with(name)).expect("a line");
+        line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number")
+    };
+    (get("VmRSS:"), get("VmHWM:"))
+}
+
+fn recovery() {
+    println!("store        rows   recovery ms   resident kB   peak kB");
+    for rows in [0u64, 10_000, 100_000, 1_000_000] {
+        for store in Store::all() {
+            let row = |i: u64| {
+                let now = unix_ms() * 1000;
+                let result = State::Good(vec![7; 100]);
+                let key = format!("{i:032x}");
+                Write::Put(Row {
+                    key,
+                    holder: i.into(),
+                    print: 1,
+                    ran: now,
+                    until: now + 29_220_000,
+                    stamp: i + 1,
+                    state: result,
+                })
+            };
+            let work = |from: u64| Work::Commit((from..rows.min(from + 5_000)).map(row).collect());
+            match &store {
+                Store::Off => continue,
+                Store::Sqlite(path) => {
+                    let mut file = Sqlite::open(path, &Options::default()).expect("a store");
+                    (0..rows)
+                        .step_by(5_000)
+                        .for_each(|from| assert_eq!(file.work(&work(from)), Outcome::Done));
+                }
+                Store::Postgres(server, _) => {
+                    let login = Login {
+                        user: "u".into(),
+                        password: b"pw".into(),
+                        database: "d".into(),
+                        node: "n3".into(),
+                    };
+                    let (mut remote, _) = Remote::adopt(server.address(), login, 0).expect("a login");
+                    (0..rows).step_by(5_000).for_each(|from| {
+                        let batch = Batch { number: from + 1, work: work(from) };
+                        assert_eq!(remote.work(&batch).expect("sound"), Outcome::Done);
+                    });
+                }
+            }
+            let began = Instant::now();
+            let scene = store.scene(", entries = 2000000, memory_mb = 4096");
+            let _kernel = AutoKernel::serve(&scene.kernel);
+            await_good(&scene);
+            let (resident, peak) = memory_of(scene.pid());
+            println!("{:8} {rows:9} {:13} {resident:13} {peak:9}", store.name(), began.elapsed().as_millis());
+        }
+    }
+}
+
+/// CPU time of a process, in ms.
+fn cpu_of(pid: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).expect("a process");
+    let fields: Vec<&str> = text.rsplit(')').next().expect("fields").split_whitespace().collect();
+    let ticks = |i: usize| fields[i].parse::<u64>().expect("a number");
+    // User and system time, in hundredths of a second.
+    (ticks(11) + ticks(12)) * 10
+}
+
+/// CPU for a request of a build with no store, in microseconds.
+fn cost() -> f64 {
+    let scene = Store::Off.scene("");
+    let _kernel = AutoKernel::serve(&scene.kernel);
+    await_good(&scene);
+    bookings(&scene, 8, Duration::from_millis(500));
+    let before = cpu_of(scene.pid());
+    let (rate, h) = bookings(&scene, 8, Duration::from_secs(4));
+    let _ = rate;
+    (cpu_of(scene.pid()) - before) as f64 * 1000.0 / h.len() as f64
+}
+
+/// Runs with an earlier build in the place of this one. Nothing else in this program runs meanwhile.
+fn with_before<T>(before: &std::ffi::OsStr, f: impl FnOnce() -> T) -> T {
+    peers::set_program(Some(before));
+    let made = f();
+    peers::set_program(None);
+    made
+}
+
+fn cpu() {
+    let Some(before) = std::env::var_os("GAUGESTAND_BEFORE") else {
+        return println!("cpu: GAUGESTAND_BEFORE names no earlier build");
+    };
+    let mut ratios: Vec<f64> = (0..7)
+        .map(|_| {
+            let (old, new) = (with_before(&before, cost), cost());
+            println!("CPU for a booking: before {old:.1} us, now {new:.1} us");
+            new / old
+        })
+        .collect();
+    ratios.sort_by(f64::total_cmp);
+    println!("ratio, median of 7: {:.3} ({:.3} to {:.3})", ratios[3], ratios[0], ratios[6]);
+}
+
+fn memory() {
+    let idle = |store: &Store, name: &str| {
+        let scene = store.scene("");
+        let _kernel = AutoKernel::serve(&scene.kernel);
+        await_good(&scene);
+        let (resident, peak) = memory_of(scene.pid());
+        println!("{name:10} resident {resident} kB, peak {peak} kB");
+    };
+    if let Some(before) = std::env::var_os("GAUGESTAND_BEFORE") {
+        with_before(&before, || idle(&Store::Off, "before"));
+    }
+    for store in Store::all() {
+        idle(&store, store.name());
+    }
+    let scene = Scene::with(Some("log(level = \"info\")"), wide);
+    let (resident, peak) = memory_of(scene.pid());
+    println!("script     resident {resident} kB, peak {peak} kB (settings alone, no store)");
+}
+
+fn main() {
+    let asked: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with("--")).collect();
+    let all: [(&str, fn()); 5] = [
+        ("throughput", throughput),
+        ("stall", stall),
+        ("recovery", recovery),
+        ("cpu", cpu),
+        ("memory", memory),
+    ];
+    println!("{} cores", thread::available_parallelism().map_or(0, usize::from));
+    for (name, run) in all {
+        if asked.is_empty() || asked.iter().any(|a| a == name) {
+            println!("\n-- {name}");
+            run();
+        }
+    }
+}
--- a/crates/record/tests/stores.rs
+++ b/crates/record/tests/stores.rs
@@ -4,10 +4,14 @@
 use gaugestand_record::remote::Remote;
 use gaugestand_record::row::{Batch, Cause, Outcome, Row, State, Work, Write};
 use gaugestand_record::sqlite::{self, Options, Sqlite};
+use gaugestand_record::worker::{self, Worker};
 use gaugestand_standins::postgres::{Fault, Postgres};
+use std::io::Read;
+use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc;
 
 /// A folder of this test's own, gone with it.
 struct Folder(PathBuf);
@@ -327,3 +331,53 @@
     }
     assert!(refused > 60 && opened > 0, "{refused} refused, {opened} opened");
 }
+
+#[test]
+fn pruning_removes_what_is_over_and_nothing_else() {
+    let folder = Folder::new();
+    let mut store = Sqlite::open(&folder.file(), &Options::default()).expect("a store");
+    assert_eq!(store.work(&Work::Commit(vec![put("k", 1, good(b"r"))])), Outcome::Done);
+    assert_eq!((store.prune(1_999).expect("done"), store.prune(2_000).expect("done")), (0, 1));
+    let server = Postgres::start("pw").expect("it listens");
+    let (mut remote, _) = Remote::adopt(server.address(), login("pw"), 10).expect("a login");
+    let work = Work::Commit(vec![put("k", 1, good(b"r"))]);
+    assert_eq!(remote.work(&Batch { number: 1, work }).expect("sound"), Outcome::Done);
+    for (before, left) in [(1_999, 1), (2_000, 0)] {
+        assert_eq!(remote.prune(before).expect("sound"), Outcome::Done);
+        assert_eq!(server.rows(), left);
+    }
+}
+
+/// A disk that does not answer until it is told to.
+struct Stuck(mpsc::Receiver<()>);
+
+impl worker::Backend for Stuck {
+    fn work(&mut self, _: &Work) -> Outcome {
+        let _ = self.0.recv();
+        Outcome::Done
+    }
+}
+
+#[test]
+fn a_worker_that_is_held_by_the_disk_holds_nobody_else() {
+    let (release, held) = mpsc::channel();
+    let (mut ours, theirs) = UnixStream::pair().expect("a pair");
+    let mut worker = Worker::start(Stuck(held), theirs).expect("a thread");
+    let batch = |number| Batch { number, work: Work::Commit(vec![Write::Probe]) };
+    // It is stuck in the first; the queue takes some more and then says that it is full, and never waits.
+    let mut taken = 0;
+    while worker.submit(batch(taken)).is_ok() {
+        taken += 1;
+        assert!(taken < 10, "the queue has no bound");
+    }
+    assert_eq!(worker.outcome(), None);
+    for number in 0..taken {
+        release.send(()).expect("the thread is there");
+        let mut byte = [0];
+        ours.read_exact(&mut byte).expect("a byte that wakes");
+        assert_eq!(worker.outcome(), Some((number, Outcome::Done)));
+    }
+    // Dropped while it is stuck, it is not waited for.
+    worker.submit(batch(99)).expect("room");
+    drop(worker);
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,10 +2,12 @@
 #![deny(unsafe_code)]
 
 mod node;
+mod record;
 
 use bpaf::{OptionParser, Parser, construct, long, pure};
 use node::config::ConfigError;
 use node::log::Logs;
+use record::{Task, Which};
 use std::io::Write as _;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -25,6 +27,8 @@
         /// For programs.
         json: bool,
     },
+    /// Look after a store of record.
+    Record(Task, Which),
     /// Print the version.
     Version,
 }
@@ -63,8 +67,38 @@
             .descr("Read the configuration as 'serve' does, say whether it is sound and what is in effect")
             .command("check-config")
     };
+    let which = || {
+        let settings = long("settings").help("The operators' script").argument::<PathBuf>("FILE");
+        let settings = settings.fallback("deploy/operator.star".into());
+        let node =
+            long("node").help("Whose rows, in a database; else BALANCER_NAME").argument("NAME").optional();
+        let json = long("json").help("Print JSON, for programs").switch();
+        construct!(Which { settings, node, json })
+    };
+    let task = |name: &'static str, task: Task, descr: &'static str| {
+        let task = pure(task);
+        let which = which();
+        construct!(Command::Record(task, which)).to_options().descr(descr).command(name)
+    };
+    let look = task("check", Task::Check, "Read all of it and say whether it is sound");
+    let list = task("list", Task::List, "Show every row");
+    let stats = task("stats", Task::Stats, "Count rows");
+    let prune = {
+        let seconds =
+            long("older-than").help("Seconds since the end of the window (3600)").argument("SECONDS");
+        let task = seconds.fallback(3600).map(Task::Prune);
+        let which = which();
+        construct!(Command::Record(task, which))
+            .to_options()
+            .descr("Remove rows whose window is long over; a file must not be in use")
+            .command("prune")
+    };
+    let record = construct!([look, list, stats, prune])
+        .to_options()
+        .descr("Look after a store of record, beside a running node where it only reads")
+        .command("record");
     let version = pure(Command::Version).to_options().descr("Print the version").command("version");
-    construct!([serve, check, version])
+    construct!([serve, check, record, version])
         .to_options()
         .descr("A booking node: FastCGI requests in, admission decided, work done by the kernel")
 }
@@ -110,6 +144,7 @@
             Ok(())
         }
         Command::CheckConfig { settings, json } => check(settings, json),
+        Command::Record(task, which) => record::run(&task, which),
         Command::Serve { settings } => serve(settings),
     };
     let (problem, status) = match done {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -5,7 +5,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
-use std::ffi::OsStr;
+use std::ffi::{OsStr, OsString};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -72,9 +72,23 @@
     command
 }
 
-/// Starts the program on a configuration and waits until it listens.
+/// Another build to start in the place of this one.
+static PROGRAM: Mutex<Option<OsString>> = Mutex::new(None);
+
+/// Benches put an earlier build in the place of this one, to compare with.
+pub fn set_program(other: Option<&OsStr>) {
+    *PROGRAM.lock().expect("no thread has panicked") = other.map(OsStr::to_os_string);
+}
+
+/// Starts the program on a configuration and waits until it listens. Whoever has the child waits for its end.
+#[allow(clippy::zombie_processes)]
 fn serve(config: &Path, script: Option<&Path>) -> (Child, BufReader<Box<dyn Read>>, String) {
     let mut command = command(config, "serve");
+    if let Some(other) = PROGRAM.lock().expect("no thread has panicked").clone() {
+        let mut earlier = Command::new(other);
+        earlier.arg("serve").env("BALANCER_CONFIG", config).stdout(Stdio::piped()).stderr(Stdio::piped());
+        command = earlier;
+    }
     command.args(script.iter().flat_map(|s| [OsStr::new("--settings"), s.as_os_str()]));
     let mut child = command.spawn().expect("the program starts");
     let said: Box<dyn Read> = Box::new(child.stderr.take().expect("piped"));
@@ -84,7 +98,8 @@
         if said.read_line(&mut line).expect("a first line") == 0 {
             panic!("it ended at once: {:?}", child.wait());
         }
-        if let Some((_, address)) = line.trim().split_once("address=") {
+        let said_so = ["address=", "listens on "].iter().find_map(|words| line.trim().split_once(words));
+        if let Some((_, address)) = said_so {
             return (child, said, address.to_string());
         }
     }
@@ -180,7 +195,7 @@
     }
 
     pub fn gateway(&self) -> Gateway {
-        Gateway { stream: patient(TcpStream::connect(&self.address).expect("accepted")) }
+        Gateway::to(&self.address)
     }
 
     pub fn report(&self) -> String {
@@ -522,6 +537,11 @@
 }
 
 impl Gateway {
+    /// A connection to a node.
+    pub fn to(address: &str) -> Self {
+        Gateway { stream: patient(TcpStream::connect(address).expect("accepted")) }
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).expect("the node reads");
     }
--- a/tests/record.rs
+++ b/tests/record.rs
@@ -621,3 +621,54 @@
         let _ = (std::fs::remove_file(settings), std::fs::remove_file(config));
     }
 }
+
+/// What a sub-command of `record` prints, and its status.
+fn record(store: &Store, arguments: &[&str]) -> (Option<i32>, String) {
+    let (mut command, config) = program(&config(1, 2, 3), "record");
+    let settings = place("star");
+    std::fs::write(&settings, store.script()).expect("written");
+    let out = command.args(arguments).arg("--settings").arg(&settings).env("BALANCER_NAME", "n3").output();
+    let out = out.expect("the program runs");
+    let _ = (std::fs::remove_file(settings), std::fs::remove_file(config));
+    let said = [out.stdout, out.stderr].concat();
+    (out.status.code(), String::from_utf8_lossy(&said).into_owned())
+}
+
+#[test]
+fn a_store_is_looked_at_beside_a_running_node_and_pruned_when_it_is_over() {
+    for store in Store::both() {
+        let mut scene = store.scene();
+        let mut kernel = scene.link();
+        await_good(&scene);
+        let mut gateway = scene.gateway();
+        book(&mut gateway, 1, A);
+        kernel.expect("SCHED", A);
+        kernel.reap(A, "good", b"booked");
+        assert_eq!(status(&gateway.answer()).1, "200");
+        gateway.send(&try_records(2, "booking", B, &[("HTTP_X_TXN_KEY", "k2")], b"b"));
+        kernel.expect("SCHED", B);
+        let said = "2 rows (1 good, 0 failed, 1 intents), 2 live, 6 bytes of results\n";
+        assert_eq!(record(&store, &["check"]), (Some(0), format!("sound: {said}")));
+        assert_eq!(record(&store, &["stats"]), (Some(0), said.to_string()));
+        let (_, stats) = record(&store, &["stats", "--json"]);
+        assert_eq!(serde_json::from_str::<Value>(&stats).expect("JSON")["intents"], 1);
+        let (_, list) = record(&store, &["list", "--json"]);
+        let mut rows: Vec<Value> = list.lines().map(|l| serde_json::from_str(l).expect("JSON")).collect();
+        rows.sort_by_key(|r| r["txn"].to_string());
+        assert_eq!((&rows[0]["key"], &rows[0]["state"]), (&KEY.into(), &"good".into()));
+        assert_eq!((&rows[1]["key"], &rows[1]["state"], rows.len()), (&"k2".into(), &"intent".into(), 2));
+        assert!(record(&store, &["list"]).1.contains(KEY));
+        // Looking has disturbed nothing: the node still writes under its name.
+        kernel.reap(B, "good", b"too");
+        assert_eq!(status(&gateway.answer()), (2, "200", &b"too"[..]));
+        // The window (9 s) is not over, let alone by an hour; a file that is in use is left alone.
+        let (code, said) = record(&store, &["prune"]);
+        match store {
+            Store::Sqlite { .. } => assert!(code == Some(1) && said.contains("another process"), "{said}"),
+            Store::Postgres { .. } => assert_eq!((code, said.as_str()), (Some(0), "0 rows removed\n")),
+        }
+        scene.restart_with(|| {
+            assert_eq!(record(&store, &["prune", "--json"]), (Some(0), "{\"removed\":0}\n".to_string()));
+        });
+    }
+}
