--- a/benches/record.rs
+++ b/benches/record.rs
@@ -48,11 +48,18 @@
     }
 
     fn all() -> [Store; 3] {
+        Store::with_commits_of(Duration::ZERO)
+    }
+
+    /// All of them; a commit of the database takes this long.
+    fn with_commits_of(time: Duration) -> [Store; 3] {
         let password = place("pass");
         std::fs::write(&password, "pw").expect("written");
         // On the disk that the build is on: a folder in memory would show nothing of what a commit costs.
         let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(place("db").file_name().expect("a name"));
-        [Store::Off, Store::Sqlite(file), Store::Postgres(Postgres::start("pw").expect("listens"), password)]
+        let server = Postgres::start("pw").expect("listens");
+        server.commit_time(time);
+        [Store::Off, Store::Sqlite(file), Store::Postgres(server, password)]
     }
 
     fn script(&self, more: &str) -> Option<String> {
@@ -94,6 +101,11 @@
     }
 }
 
+/// Latencies in microseconds, up to a minute.
+fn latencies() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("sound bounds")
+}
+
 /// An id that no request of this program had before.
 fn txn() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -103,14 +115,13 @@
 /// Bookings from so many clients, each with one out, for a while; returns how many a second and their latencies.
 fn bookings(scene: &Scene, clients: usize, time: Duration) -> (f64, Histogram<u64>) {
     let began = Instant::now();
-    let mut all = Histogram::new(3).expect("three digits");
+    let mut all = latencies();
     thread::scope(|scope| {
         let clients: Vec<_> = (0..clients)
             .map(|_| {
                 let address = scene.address.clone();
                 scope.spawn(move || {
-                    let (mut gateway, mut mine) =
-                        (Gateway::to(&address), Histogram::<u64>::new(3).expect("three digits"));
+                    let (mut gateway, mut mine) = (Gateway::to(&address), latencies());
                     while began.elapsed() < time {
                         let sent = Instant::now();
                         let txn = txn();
@@ -132,9 +143,13 @@
 
 fn throughput() {
     println!("store     out  bookings/s   p50 us   p99 us");
-    for store in Store::all() {
+    let [.., slow] = Store::with_commits_of(Duration::from_millis(1));
+    for (i, store) in Store::all().into_iter().chain([slow]).enumerate() {
+        if i == 3 {
+            println!("the same with a commit that takes the server 1 ms:");
+        }
         for clients in [1, 16, 256] {
-            let scene = store.scene("");
+            let scene = store.scene(", entries = 2000000, memory_mb = 2048");
             let _kernel = AutoKernel::serve(&scene.kernel);
             await_good(&scene);
             let mut runs: Vec<(f64, u64, u64)> = (0..3)
@@ -158,7 +173,7 @@
 /// Round trips of reads at a steady pace for so long.
 fn reads(scene: &Scene, time: Duration) -> Histogram<u64> {
     let (mut gateway, began) = (scene.gateway(), Instant::now());
-    let mut all = Histogram::new(3).expect("three digits");
+    let mut all = latencies();
     while began.elapsed() < time {
         let sent = Instant::now();
         assert_eq!(gateway.read(&txn()).expect("an answer"), "200");
--- a/crates/standins/src/postgres.rs
+++ b/crates/standins/src/postgres.rs
@@ -2,7 +2,7 @@
 //! prepared statements and one transaction up to each Sync. It knows the store's own statements by their text.
 //!
 //! What it has acknowledged it keeps, over its own restarts too; what it has not may be kept or lost, as its
-//! script says. Everything waits for a test's word or for a message: nothing sleeps.
+//! script says. Faults wait for a test's word, not for time to pass; only a bench has commits take time.
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -14,6 +14,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 const ROUNDS: u32 = 4096;
 const SALT: &[u8] = b"gaugestand-salt!";
@@ -70,6 +71,8 @@
     failing: Option<&'static str>,
     /// Replies go out a byte at a time.
     pieces: bool,
+    /// What a commit takes, as a disk would make it.
+    commit_time: Duration,
     commits: u64,
     /// Counts releases.
     released: u64,
@@ -173,7 +176,7 @@
         let listener = (0..1_000).find_map(|_| {
             thread::yield_now();
             TcpListener::bind(self.address).ok().or_else(|| {
-                thread::sleep(std::time::Duration::from_millis(1));
+                thread::sleep(Duration::from_millis(1));
                 None
             })
         });
@@ -195,6 +198,11 @@
         self.shared.db().pieces = pieces;
     }
 
+    /// What each commit takes from now on, as a disk would make it.
+    pub fn commit_time(&self, time: Duration) {
+        self.shared.db().commit_time = time;
+    }
+
     /// The version that its tables are said to have.
     pub fn set_version(&self, version: i32) {
         let mut db = self.shared.db();
@@ -599,6 +607,12 @@
             }
             _ => {}
         }
+        if db.commit_time > Duration::ZERO {
+            let time = db.commit_time;
+            drop(db);
+            thread::sleep(time);
+            db = shared.db();
+        }
         writes.iter().for_each(|w| apply(&mut db, w));
         db.commits += 1;
         shared.changed.notify_all();
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -384,6 +384,7 @@
 
     fn link(&self, stream: TcpStream) {
         let Ok(copy) = stream.try_clone() else { return };
+        let _ = stream.set_nodelay(true);
         let (mut lines, mut cursor) = (BufReader::new(copy), 0);
         let mut stream = stream;
         let mut line = String::new();
