--- a/crates/record/src/ledger.rs
+++ b/crates/record/src/ledger.rs
@@ -25,7 +25,8 @@
 /// How long past its end an entry is kept for tries that reached the machine before and are read after it.
 const READ_LATE: Micros = Micros::millis(10_000);
 /// What an entry takes besides its key and its result: the table's place, the entry and its expiry, in bytes.
-const ENTRY_BYTES: usize = 256;
+/// Measured at a million entries: 477 with a key of 32 bytes and a result of 100.
+const ENTRY_BYTES: usize = 350;
 /// From one try at a busy store to the next: first, and at most.
 const BUSY_RETRY: (Micros, Micros) = (Micros::millis(5), Micros::millis(100));
 /// From one probe of a store that is given up for now to the next: first, and at most; each is up to half as
--- a/crates/standins/src/postgres.rs
+++ b/crates/standins/src/postgres.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::ops::Bound::{Excluded, Unbounded};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -543,7 +544,8 @@
             }
             sql::LOAD => {
                 let (node, last, most) = (text(param(0)), text(param(1)), int(param(2)) as usize);
-                let rows = db.rows.iter().filter(|((n, k), _)| *n == node && *k > last).take(most);
+                let from = (Excluded((node.clone(), last)), Unbounded);
+                let rows = db.rows.range(from).take_while(|((n, _), _)| *n == node).take(most);
                 let rows: Vec<_> = rows.map(|((_, k), row)| columns(k, row)).collect();
                 rows.iter().for_each(|r| self.data(r));
                 self.say(b'C', format!("SELECT {}\0", rows.len()).as_bytes());
