--- a/tests/record.rs
+++ b/tests/record.rs
@@ -125,6 +125,15 @@
     }
 }
 
+/// A node on this store that is in service, its kernel and a connection to it.
+fn serving(store: &Store) -> (Scene, Kernel, Gateway) {
+    let scene = store.scene();
+    let kernel = scene.link();
+    await_good(&scene);
+    let gateway = scene.gateway();
+    (scene, kernel, gateway)
+}
+
 fn book(gateway: &mut Gateway, id: u16, txn: &str) {
     gateway.request(id, "booking", txn, b"b");
 }
@@ -136,10 +145,7 @@
 #[test]
 fn a_booking_is_durable_before_it_is_answered_and_a_repeat_after_a_kill_gets_the_same() {
     for store in Store::both() {
-        let mut scene = store.scene();
-        let mut kernel = scene.link();
-        await_good(&scene);
-        let mut gateway = scene.gateway();
+        let (mut scene, mut kernel, mut gateway) = serving(&store);
         book(&mut gateway, 1, A);
         kernel.expect("SCHED", A);
         // The intent is there before the run begins.
@@ -184,10 +190,7 @@
 #[test]
 fn a_result_whose_write_stalls_fails_at_its_due_time_and_is_served_to_a_repeat_once_it_is_durable() {
     for mut store in Store::both() {
-        let scene = store.scene();
-        let mut kernel = scene.link();
-        await_good(&scene);
-        let mut gateway = scene.gateway();
+        let (_scene, mut kernel, mut gateway) = serving(&store);
         book(&mut gateway, 1, A);
         kernel.expect("SCHED", A);
         store.stall();
@@ -209,10 +212,7 @@
 #[test]
 fn a_result_whose_write_never_came_through_is_in_doubt_after_a_kill() {
     for mut store in Store::both() {
-        let mut scene = store.scene();
-        let mut kernel = scene.link();
-        await_good(&scene);
-        let mut gateway = scene.gateway();
+        let (mut scene, mut kernel, mut gateway) = serving(&store);
         book(&mut gateway, 1, A);
         kernel.expect("SCHED", A);
         store.stall();
@@ -239,10 +239,7 @@
 #[test]
 fn what_cannot_be_recorded_is_refused_at_once_with_when_to_come_back_and_reads_go_on() {
     for mut store in Store::both() {
-        let mut scene = store.scene();
-        let mut kernel = scene.link();
-        await_good(&scene);
-        let mut gateway = scene.gateway();
+        let (mut scene, mut kernel, mut gateway) = serving(&store);
         store.stall();
         // The first one finds out; it is refused when the store is given up, long before its due time.
         let began = Instant::now();
@@ -505,10 +502,7 @@
 
 /// A booking whose run has ended and whose outcome the store does not take.
 fn stalled(store: &mut Store, txn: &str) -> (Scene, Kernel, Gateway) {
-    let scene = store.scene();
-    let mut kernel = scene.link();
-    await_good(&scene);
-    let mut gateway = scene.gateway();
+    let (scene, mut kernel, mut gateway) = serving(store);
     book(&mut gateway, 1, txn);
     kernel.expect("SCHED", txn);
     store.stall();
@@ -621,10 +615,7 @@
 fn a_database_that_takes_no_writes_costs_keyed_requests_alone_and_is_used_again_when_it_does() {
     let [_, store] = Store::both();
     let Store::Postgres { server, .. } = &store else { panic!("the second is the database") };
-    let mut scene = store.scene();
-    let mut kernel = scene.link();
-    await_good(&scene);
-    let mut gateway = scene.gateway();
+    let (mut scene, mut kernel, mut gateway) = serving(&store);
     for (id, code, first, second) in [(1, "53100", A, B), (2, "25006", C, D)] {
         server.failing(Some(code));
         gateway.send(&try_records(id, "booking", first, &[("HTTP_X_TXN_KEY", code)], b"b"));
@@ -695,10 +686,7 @@
 #[test]
 fn a_store_is_looked_at_beside_a_running_node_and_pruned_when_it_is_over() {
     for store in Store::both() {
-        let mut scene = store.scene();
-        let mut kernel = scene.link();
-        await_good(&scene);
-        let mut gateway = scene.gateway();
+        let (mut scene, mut kernel, mut gateway) = serving(&store);
         book(&mut gateway, 1, A);
         kernel.expect("SCHED", A);
         kernel.reap(A, "good", b"booked");
