Write the node against one seam for sockets, clocks, signals and the store's worker

The virtual world needs the node's source unchanged on sockets and clocks of its own. io::System is all that the node asks of the outside: streams, listener, datagrams, wait, both clocks, signals, the store's worker; io::real is the machine, by static dispatch.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -3,15 +3,13 @@
 use super::answer::Outbox;
 use super::counters::Counters;
 use super::fastcgi::{self, status};
-use super::poll::Watched;
+use super::io::{Listener, Stream, System};
 use super::request::Incoming;
 use gaugestand_core::RequestId;
 use gaugestand_core::facade::Micros;
-use polling::Poller;
 use std::collections::BTreeMap;
-use std::io::{self, Read};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::Rc;
+use std::io;
+use std::net::SocketAddr;
 
 /// Descriptors that the node needs besides connections: standard streams, poller, listener, kernel, members,
 /// signals, and some to spare.
@@ -72,8 +70,8 @@
 
 /// One connection of a gateway.
 #[derive(Debug)]
-pub struct Conn {
-    stream: Watched<TcpStream>,
+pub struct Conn<T> {
+    stream: T,
     input: Vec<u8>,
     /// What waits to be written.
     pub output: Outbox,
@@ -110,12 +108,11 @@
 
 /// The listener and its connections.
 #[derive(Debug)]
-pub struct Table {
-    listener: Option<Watched<TcpListener>>,
-    poller: Rc<Poller>,
+pub struct Table<S: System> {
+    listener: Option<S::Listener>,
     /// Poller key of the first place.
     first_key: usize,
-    conns: Vec<Option<Conn>>,
+    conns: Vec<Option<Conn<S::Stream>>>,
     free: Vec<usize>,
     serial: u64,
     most: usize,
@@ -134,21 +131,18 @@
     pub unfinished: Vec<(ConnId, u16)>,
 }
 
-impl Table {
+impl<S: System> Table<S> {
     /// Listens at the address, within this many descriptors besides those of the store's connections.
     pub fn listen(
-        poller: &Rc<Poller>,
+        system: &S,
         at: SocketAddr,
         key: usize,
         first_key: usize,
         sockets: usize,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(at)?;
-        listener.set_nonblocking(true)?;
-        let listener = Watched::new(poller, listener, key, true, false)?;
+        let listener = system.listen(at, key)?;
         Ok(Table {
             listener: Some(listener),
-            poller: poller.clone(),
             first_key,
             conns: Vec::new(),
             free: Vec::new(),
@@ -162,7 +156,7 @@
 
     /// The address it listens at.
     pub fn address(&self) -> Option<SocketAddr> {
-        self.listener.as_ref().and_then(|l| l.local_addr().ok())
+        self.listener.as_ref().and_then(|l| l.address())
     }
 
     /// Stops listening.
@@ -188,13 +182,14 @@
                 return self.listen_for(false);
             }
             let Some(listener) = &self.listener else { return };
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    if self.add(now, stream).is_ok() {
-                        counters.connections_accepted += 1;
-                    }
+            let place = self.free.last().copied().unwrap_or(self.conns.len());
+            match listener.accept(self.first_key + place) {
+                Ok(stream) => {
+                    self.add(now, place, stream);
+                    counters.connections_accepted += 1;
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 // Guards against turning without end while the system is out of descriptors or memory.
                 Err(_) => {
@@ -208,15 +203,11 @@
     fn listen_for(&mut self, connections: bool) {
         if let Some(listener) = &mut self.listener {
             // If it cannot be changed the poller goes on as it was, and the next look tries again.
-            let _ = listener.watch(connections, false);
+            let _ = listener.watch(connections);
         }
     }
 
-    fn add(&mut self, now: Micros, stream: TcpStream) -> io::Result<()> {
-        stream.set_nonblocking(true)?;
-        stream.set_nodelay(true)?;
-        let place = self.free.last().copied().unwrap_or(self.conns.len());
-        let stream = Watched::new(&self.poller, stream, self.first_key + place, true, false)?;
+    fn add(&mut self, now: Micros, place: usize, stream: S::Stream) {
         self.serial += 1;
         let conn = Conn {
             stream,
@@ -240,7 +231,6 @@
         } else {
             self.conns.push(Some(conn));
         }
-        Ok(())
     }
 
     /// The connection that a poller key stands for.
@@ -251,7 +241,7 @@
     }
 
     /// A connection that is still there.
-    pub fn get(&mut self, id: ConnId) -> Option<&mut Conn> {
+    pub fn get(&mut self, id: ConnId) -> Option<&mut Conn<S::Stream>> {
         self.conns.get_mut(id.place)?.as_mut().filter(|c| c.serial == id.serial)
     }
 
@@ -277,7 +267,7 @@
         // Of those accepted at the same time the oldest goes: never the one that has just come. The ones that are
         // to end anyway go first, then those that have asked for nothing: gateways connect when they have
         // something to send.
-        let order = |c: &Conn| match (c.deaf, c.asked || now.since(c.since) < NEW) {
+        let order = |c: &Conn<S::Stream>| match (c.deaf, c.asked || now.since(c.since) < NEW) {
             (true, _) => 0,
             (false, false) => 1,
             (false, true) => 2,
@@ -289,7 +279,7 @@
         })
     }
 
-    fn idle_conns(&self) -> impl Iterator<Item = (ConnId, &Conn)> + '_ {
+    fn idle_conns(&self) -> impl Iterator<Item = (ConnId, &Conn<S::Stream>)> + '_ {
         let conns = self.conns.iter().enumerate();
         conns
             .filter_map(|(place, c)| c.as_ref().map(|c| (place, c)))
@@ -387,7 +377,7 @@
     }
 }
 
-impl Conn {
+impl<T: Stream> Conn<T> {
     /// Opens a request, or ends it at once where that cannot be done: it never ran.
     pub fn begin(&mut self, now: Micros, id: u16, content: &[u8]) {
         let opened = match fastcgi::begin(content) {
@@ -452,7 +442,7 @@
     }
 
     fn has_unread(&self) -> bool {
-        matches!(self.stream.peek(&mut [0]), Ok(n) if n > 0)
+        self.stream.has_unread()
     }
 
     /// Reads what is there, up to a bound, behind what was left of the input before; returns the length of all
@@ -500,7 +490,7 @@
     }
 
     fn write(&mut self, now: Micros) -> io::Result<()> {
-        if self.output.write(&mut *self.stream)? > 0 {
+        if self.output.write(&mut self.stream)? > 0 {
             self.used = now;
         }
         self.stream.watch(!self.deaf, !self.output.is_empty())
--- a/crates/node/src/checks.rs
+++ b/crates/node/src/checks.rs
@@ -2,6 +2,7 @@
 
 use super::accept::ConnId;
 use super::counters::Counters;
+use super::io::System;
 use super::kernel::Kernel;
 use gaugestand_core::facade::Micros;
 
@@ -38,7 +39,12 @@
     }
 
     /// Asks the kernel for the work of checks, again after a new link; returns those that it did not answer.
-    pub fn post(&mut self, now: Micros, kernel: &mut Kernel, counters: &mut Counters) -> Vec<(ConnId, u16)> {
+    pub fn post<S: System>(
+        &mut self,
+        now: Micros,
+        kernel: &mut Kernel<S>,
+        counters: &mut Counters,
+    ) -> Vec<(ConnId, u16)> {
         let late = |c: &Check| now.since(c.since) >= CHECK;
         let over = self.open.iter().filter(|c| late(c)).map(|c| (c.conn, c.fcgi)).collect();
         self.open.retain(|c| !late(c));
--- a/crates/node/src/link.rs
+++ b/crates/node/src/io/link.rs
@@ -1,13 +1,10 @@
 //! A connection of ours to a peer that may be absent, late or drop: used for the kernel and the store.
 
-use super::answer::Outbox;
-use super::poll::Watched;
+use super::{Stream, System};
+use crate::answer::Outbox;
 use gaugestand_core::facade::Micros;
-use polling::Poller;
-use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, Read};
-use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
+use std::net::SocketAddr;
 
 /// Time from a failure to the next try to connect: first, and at most.
 const RETRY: (Micros, Micros) = (Micros::millis(20), Micros::millis(500));
@@ -21,11 +18,11 @@
 const MOST_OUT: usize = 4 << 20;
 
 #[derive(Debug)]
-enum State {
+enum State<T> {
     Down,
     /// Since when.
-    Connecting(Watched<TcpStream>, Micros),
-    Up(Watched<TcpStream>),
+    Connecting(T, Micros),
+    Up(T),
 }
 
 /// What became of a link.
@@ -41,11 +38,11 @@
 
 /// One link, with its buffers.
 #[derive(Debug)]
-pub struct Link {
+pub struct Link<S: System> {
     to: SocketAddr,
     key: usize,
-    poller: Rc<Poller>,
-    state: State,
+    system: S,
+    state: State<S::Stream>,
     retry_at: Micros,
     retry_in: Micros,
     input: Vec<u8>,
@@ -58,14 +55,14 @@
     ended: bool,
 }
 
-impl Link {
+impl<S: System> Link<S> {
     /// A link that is down.
-    pub fn new(to: SocketAddr, key: usize, poller: &Rc<Poller>) -> Self {
+    pub fn new(to: SocketAddr, key: usize, system: &S) -> Self {
         let (retry_at, retry_in) = (Micros(0), RETRY.0);
         let (input, output) = (Vec::new(), Outbox::default());
-        let (poller, state) = (poller.clone(), State::Down);
+        let (system, state) = (system.clone(), State::Down);
         let (queued, sent, ended) = (0, 0, false);
-        Link { to, key, poller, state, retry_at, retry_in, input, output, queued, sent, ended }
+        Link { to, key, system, state, retry_at, retry_in, input, output, queued, sent, ended }
     }
 
     /// The address that it is to.
@@ -88,7 +85,7 @@
         if !self.is_down() || now < self.retry_at {
             return None;
         }
-        match self.open() {
+        match self.system.connect(self.to, self.key) {
             Ok(stream) => {
                 self.state = State::Connecting(stream, now);
                 None
@@ -97,18 +94,6 @@
         }
     }
 
-    fn open(&self) -> io::Result<Watched<TcpStream>> {
-        let socket = Socket::new(Domain::for_address(self.to), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_nonblocking(true)?;
-        socket.set_tcp_nodelay(true)?;
-        match socket.connect(&self.to.into()) {
-            Err(e) if e.raw_os_error() != Some(EINPROGRESS) && e.kind() != io::ErrorKind::WouldBlock => {
-                Err(e)
-            }
-            _ => Watched::new(&self.poller, socket.into(), self.key, true, true),
-        }
-    }
-
     fn fail(&mut self, now: Micros) -> Change {
         let was_up = self.is_up();
         self.sent = self.written();
@@ -170,7 +155,7 @@
             if !writable && !readable {
                 return None;
             }
-            if !matches!(stream.take_error(), Ok(None)) || stream.peer_addr().is_err() {
+            if !stream.is_made() {
                 return Some(self.fail(now));
             }
             let State::Connecting(stream, _) = std::mem::replace(&mut self.state, State::Down) else {
@@ -223,7 +208,7 @@
             return Some(self.fail(now));
         }
         let State::Up(stream) = &mut self.state else { return None };
-        let written = self.output.write(&mut **stream);
+        let written = self.output.write(stream);
         let left = self.output.len();
         match written.and_then(|_| stream.watch(true, left > 0)) {
             Ok(()) if left <= MOST_OUT => None,
@@ -231,6 +216,3 @@
         }
     }
 }
-
-/// The connection is being made.
-const EINPROGRESS: i32 = 115;
--- /dev/null
+++ b/crates/node/src/io/mod.rs
@@ -0,0 +1,107 @@
+//! The seam between the node and the system: all that the node asks of the outside, and nothing else.
+//!
+//! [`System`] is written against by the loop, the fronts, the peers and the links; [`real::Real`] is the machine
+//! that the program runs on. Another one (a virtual world) can take its place, and the node cannot tell which it has:
+//! the type is chosen where the node is made, and nothing here says what it is.
+
+pub mod clock;
+pub mod link;
+pub mod poll;
+pub mod real;
+
+use gaugestand_core::facade::Micros;
+use gaugestand_core::register::Moment;
+use gaugestand_record::row::{Batch, Outcome, Recovery};
+use gaugestand_record::sqlite::Options;
+use std::fmt::Debug;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Something that a turn has to look at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ready {
+    /// What it was watched under.
+    pub key: usize,
+    /// There is something to read, an end, or an error.
+    pub readable: bool,
+    /// Something can be written, or there is an error.
+    pub writable: bool,
+}
+
+/// What a node runs on. All sources are watched, level-triggered, under the key that they were made with, for as
+/// long as they live; all of them are non-blocking.
+pub trait System: Clone + Debug {
+    /// A connection.
+    type Stream: Stream;
+    /// Where connections come in.
+    type Listener: Listener<Stream = Self::Stream>;
+    /// A socket for reports.
+    type Datagram: Datagram;
+    /// What tells of a signal: a byte, or some, that say nothing.
+    type Signals: Read + Debug;
+    /// What does the blocking work of a store of record.
+    type Worker: Worker;
+
+    /// The time on both clocks; the monotonic one starts well above zero.
+    fn moment(&self) -> Moment;
+    /// Listens.
+    fn listen(&self, at: SocketAddr, key: usize) -> io::Result<Self::Listener>;
+    /// Begins to connect; the stream is ready for writing once it is made or has failed.
+    fn connect(&self, to: SocketAddr, key: usize) -> io::Result<Self::Stream>;
+    /// A socket for reports to this address.
+    fn datagram(&self, to: SocketAddr) -> io::Result<Self::Datagram>;
+    /// From now on these signals are told of under this key.
+    fn signals(&self, key: usize, signals: &[i32]) -> io::Result<Self::Signals>;
+    /// Opens a store of record in a file, with what an earlier life left in it, up to so many rows.
+    fn store(
+        &self,
+        path: &Path,
+        options: &Options,
+        most_rows: usize,
+        key: usize,
+    ) -> Result<(Self::Worker, Recovery), String>;
+    /// Waits until something is ready, for this long at most, and puts it in place of what `ready` held.
+    fn wait(&self, most: Micros, ready: &mut Vec<Ready>) -> io::Result<()>;
+}
+
+/// A connection.
+pub trait Stream: Read + Write + Debug {
+    /// Changes what it is watched for.
+    fn watch(&mut self, reading: bool, writing: bool) -> io::Result<()>;
+    /// Whether a connection that was begun has been made; asked once it is ready.
+    fn is_made(&self) -> bool;
+    /// Whether something can be read, other than an end.
+    fn has_unread(&self) -> bool;
+}
+
+/// Where connections come in.
+pub trait Listener: Debug {
+    /// What comes in.
+    type Stream;
+    /// Takes the next connection, to be watched for reading under this key. `ConnectionAborted` is of one that
+    /// was gone before it could be taken.
+    fn accept(&self, key: usize) -> io::Result<Self::Stream>;
+    /// Changes whether it is watched.
+    fn watch(&mut self, reading: bool) -> io::Result<()>;
+    /// Where it listens.
+    fn address(&self) -> Option<SocketAddr>;
+}
+
+/// A socket for reports.
+pub trait Datagram: Debug {
+    /// Sends one; nobody says whether it arrives.
+    fn send(&self, bytes: &[u8]) -> io::Result<()>;
+}
+
+/// What does the blocking work of a store of record, off the loop.
+pub trait Worker: Debug {
+    /// Hands a batch over; gives it back if there is no room.
+    fn submit(&mut self, batch: Batch) -> Result<(), Batch>;
+    /// The next outcome, if there is one.
+    fn outcome(&mut self) -> Option<(u64, Outcome)>;
+    /// It can do no more work.
+    fn is_dead(&self) -> bool;
+    /// Takes note of its having said that there is an outcome.
+    fn woken(&mut self);
+}
--- a/crates/node/src/poll.rs
+++ b/crates/node/src/io/poll.rs
@@ -1,9 +1,11 @@
 //! Registration of descriptors with the poller: the one place with unsafe code.
 
+use super::Ready;
 use gaugestand_core::facade::Micros;
 use polling::{AsSource, Event, PollMode, Poller};
 use rustix::event::Timespec;
 use rustix::event::epoll::{self, EventFlags};
+use std::cell::RefCell;
 use std::io;
 use std::ops::{Deref, DerefMut};
 use std::os::fd::AsRawFd;
@@ -66,45 +68,34 @@
 /// Most events taken in one turn; what is left comes with the next, in the order of the system's list.
 const MOST_EVENTS: usize = 256;
 
-/// Where a turn waits. The poller's own wait arms a timer descriptor, its interest, and that of a descriptor for
-/// notices to other threads, anew each time: four calls that this loop has no use for, which it does without.
-pub struct Waiter {
-    events: Vec<epoll::Event>,
+thread_local! {
+    /// Room for what the system tells of in one turn.
+    static EVENTS: RefCell<Vec<epoll::Event>> = RefCell::new(Vec::with_capacity(MOST_EVENTS));
 }
 
-impl std::fmt::Debug for Waiter {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Waiter({} events)", self.events.len())
-    }
-}
-
-impl Default for Waiter {
-    fn default() -> Self {
-        Waiter { events: Vec::with_capacity(MOST_EVENTS) }
-    }
-}
-
-impl Waiter {
-    /// Waits until something is ready, for this long at most. An interruption by a signal ends the wait with nothing.
-    pub fn wait(&mut self, poller: &Poller, most: Micros) -> io::Result<()> {
-        self.events.clear();
-        let timeout =
-            Timespec { tv_sec: (most.0 / 1_000_000) as _, tv_nsec: (most.0 % 1_000_000 * 1_000) as _ };
-        match epoll::wait(poller, rustix::buffer::spare_capacity(&mut self.events), Some(&timeout)) {
-            Ok(_) | Err(rustix::io::Errno::INTR) => Ok(()),
-            Err(e) => Err(e.into()),
+/// Waits until something is ready, for this long at most; an interruption by a signal ends the wait with nothing.
+///
+/// The poller's own wait arms a timer descriptor, its interest, and that of a descriptor for notices to other threads,
+/// anew each time: four calls that this loop has no use for, which it does without.
+pub fn wait(poller: &Poller, most: Micros, ready: &mut Vec<Ready>) -> io::Result<()> {
+    ready.clear();
+    let timeout = Timespec { tv_sec: (most.0 / 1_000_000) as _, tv_nsec: (most.0 % 1_000_000 * 1_000) as _ };
+    EVENTS.with_borrow_mut(|events| {
+        events.clear();
+        match epoll::wait(poller, rustix::buffer::spare_capacity(events), Some(&timeout)) {
+            Ok(_) | Err(rustix::io::Errno::INTR) => {}
+            Err(e) => return Err(e.into()),
         }
-    }
-
-    /// What was ready.
-    pub fn ready(&self) -> impl Iterator<Item = Event> + '_ {
-        self.events.iter().map(|e| {
+        ready.extend(events.iter().map(|e| {
             let flags = e.flags;
             // An error or the end of either direction shows in what comes of reading and of writing.
             let over = EventFlags::HUP | EventFlags::ERR;
-            let readable = flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::PRI | over);
-            let writable = flags.intersects(EventFlags::OUT | over);
-            Event::new(e.data.u64() as usize, readable, writable)
-        })
-    }
+            Ready {
+                key: e.data.u64() as usize,
+                readable: flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::PRI | over),
+                writable: flags.intersects(EventFlags::OUT | over),
+            }
+        }));
+        Ok(())
+    })
 }
--- /dev/null
+++ b/crates/node/src/io/real.rs
@@ -0,0 +1,221 @@
+//! The machine that the program runs on: its sockets, clocks and signals, by polling, socket2 and rustix.
+
+use super::poll::{Watched, wait};
+use super::{Datagram, Listener, Ready, Stream, System, Worker};
+use gaugestand_core::facade::Micros;
+use gaugestand_core::register::Moment;
+use gaugestand_record::row::{Batch, Outcome, Recovery};
+use gaugestand_record::sqlite::{Options, Sqlite};
+use gaugestand_record::worker;
+use polling::Poller;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, Read, Write};
+use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// The connection is being made.
+const EINPROGRESS: i32 = 115;
+
+/// The machine.
+#[derive(Clone, Debug)]
+pub struct Real {
+    poller: Rc<Poller>,
+    origin: Instant,
+}
+
+impl Real {
+    /// The machine, with nothing watched yet.
+    pub fn new() -> io::Result<Self> {
+        Ok(Real { poller: Rc::new(Poller::new()?), origin: Instant::now() })
+    }
+
+    fn stream(&self, stream: TcpStream, key: usize, writing: bool) -> io::Result<Watched<TcpStream>> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        Watched::new(&self.poller, stream, key, true, writing)
+    }
+}
+
+impl System for Real {
+    type Stream = Watched<TcpStream>;
+    type Listener = Incoming;
+    type Datagram = Reports;
+    type Signals = Pipe;
+    type Worker = Thread;
+
+    fn moment(&self) -> Moment {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mono = super::clock::START.plus(Micros(self.origin.elapsed().as_micros() as u64));
+        Moment { mono, wall: Micros(unix.as_micros() as u64) }
+    }
+
+    fn listen(&self, at: SocketAddr, key: usize) -> io::Result<Incoming> {
+        let listener = TcpListener::bind(at)?;
+        listener.set_nonblocking(true)?;
+        let listener = Watched::new(&self.poller, listener, key, true, false)?;
+        Ok(Incoming { listener, system: self.clone() })
+    }
+
+    fn connect(&self, to: SocketAddr, key: usize) -> io::Result<Self::Stream> {
+        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&to.into()) {
+            Err(e) if e.raw_os_error() != Some(EINPROGRESS) && e.kind() != io::ErrorKind::WouldBlock => {
+                Err(e)
+            }
+            _ => self.stream(socket.into(), key, true),
+        }
+    }
+
+    fn datagram(&self, to: SocketAddr) -> io::Result<Reports> {
+        let any: SocketAddr = match to {
+            SocketAddr::V4(_) => (Ipv4Addr::UNSPECIFIED, 0).into(),
+            SocketAddr::V6(_) => (Ipv6Addr::UNSPECIFIED, 0).into(),
+        };
+        let socket = UdpSocket::bind(any)?;
+        socket.set_nonblocking(true)?;
+        Ok(Reports { to, socket })
+    }
+
+    fn signals(&self, key: usize, signals: &[i32]) -> io::Result<Pipe> {
+        let (ours, theirs) = UnixStream::pair()?;
+        ours.set_nonblocking(true)?;
+        for signal in signals {
+            signal_hook::low_level::pipe::register(*signal, theirs.try_clone()?)?;
+        }
+        Ok(Pipe(Watched::new(&self.poller, ours, key, true, false)?))
+    }
+
+    fn store(
+        &self,
+        path: &Path,
+        options: &Options,
+        most_rows: usize,
+        key: usize,
+    ) -> Result<(Thread, Recovery), String> {
+        let store = Sqlite::open(path, options).map_err(|e| e.to_string())?;
+        let found = store.recover(path, most_rows).map_err(|e| e.to_string())?;
+        let start = || {
+            let (ours, theirs) = UnixStream::pair()?;
+            ours.set_nonblocking(true)?;
+            let woken = Pipe(Watched::new(&self.poller, ours, key, true, false)?);
+            Ok(Thread { worker: worker::Worker::start(store, theirs)?, woken })
+        };
+        Ok((start().map_err(|e: io::Error| format!("store of record: {e}"))?, found))
+    }
+
+    fn wait(&self, most: Micros, ready: &mut Vec<Ready>) -> io::Result<()> {
+        wait(&self.poller, most, ready)
+    }
+}
+
+impl Stream for Watched<TcpStream> {
+    fn watch(&mut self, reading: bool, writing: bool) -> io::Result<()> {
+        Watched::watch(self, reading, writing)
+    }
+
+    fn is_made(&self) -> bool {
+        matches!(self.take_error(), Ok(None)) && self.peer_addr().is_ok()
+    }
+
+    fn has_unread(&self) -> bool {
+        matches!(self.peek(&mut [0]), Ok(n) if n > 0)
+    }
+}
+
+impl Read for Watched<TcpStream> {
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        (**self).read(buf)
+    }
+}
+
+impl Write for Watched<TcpStream> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        (**self).write(buf)
+    }
+
+    fn write_vectored(&mut self, bufs: &[io::IoSlice<'_>]) -> io::Result<usize> {
+        (**self).write_vectored(bufs)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A listening socket.
+#[derive(Debug)]
+pub struct Incoming {
+    listener: Watched<TcpListener>,
+    system: Real,
+}
+
+impl Listener for Incoming {
+    type Stream = Watched<TcpStream>;
+
+    fn accept(&self, key: usize) -> io::Result<Self::Stream> {
+        let (stream, _) = self.listener.accept()?;
+        // One that cannot be set up is let go of; the next may do better.
+        self.system.stream(stream, key, false).map_err(|_| io::ErrorKind::ConnectionAborted.into())
+    }
+
+    fn watch(&mut self, reading: bool) -> io::Result<()> {
+        self.listener.watch(reading, false)
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        self.listener.local_addr().ok()
+    }
+}
+
+/// A socket for datagrams to one address.
+#[derive(Debug)]
+pub struct Reports {
+    to: SocketAddr,
+    socket: UdpSocket,
+}
+
+impl Datagram for Reports {
+    fn send(&self, bytes: &[u8]) -> io::Result<()> {
+        self.socket.send_to(bytes, self.to).map(|_| ())
+    }
+}
+
+/// The reading end of a pipe that only wakes.
+#[derive(Debug)]
+pub struct Pipe(Watched<UnixStream>);
+
+impl Read for Pipe {
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        self.0.read(buf)
+    }
+}
+
+/// A store of record on a thread of its own.
+#[derive(Debug)]
+pub struct Thread {
+    worker: worker::Worker,
+    woken: Pipe,
+}
+
+impl Worker for Thread {
+    fn submit(&mut self, batch: Batch) -> Result<(), Batch> {
+        self.worker.submit(batch)
+    }
+
+    fn outcome(&mut self) -> Option<(u64, Outcome)> {
+        self.worker.outcome()
+    }
+
+    fn is_dead(&self) -> bool {
+        self.worker.is_dead()
+    }
+
+    fn woken(&mut self) {
+        // The bytes say nothing; only that they came matters.
+        while matches!(self.woken.read(&mut [0; 64]), Ok(n) if n > 0) {}
+    }
+}
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -1,13 +1,13 @@
 //! The link to the kernel: commands and notices as JSON lines, with a cursor over reconnects.
 
 use super::counters::Counters;
-use super::link::{Change, Link};
+use super::io::System;
+use super::io::link::{Change, Link};
 use super::request::{id_of, id_text};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use gaugestand_core::facade::Micros;
 use gaugestand_core::{Gauges, RequestId};
-use polling::Poller;
 use serde::Deserialize;
 use std::borrow::Cow;
 use std::collections::VecDeque;
@@ -154,10 +154,10 @@
 
 /// The kernel, as far as this node sees it.
 #[derive(Debug)]
-pub struct Kernel {
-    link: Link,
+pub struct Kernel<S: System> {
+    link: Link<S>,
     key: usize,
-    poller: Rc<Poller>,
+    system: S,
     /// Counts the links, so that what was asked on an earlier one can be asked again.
     links: u64,
     /// Number of the last notice read.
@@ -170,14 +170,14 @@
     booted: bool,
 }
 
-impl Kernel {
+impl<S: System> Kernel<S> {
     /// A kernel that is not linked yet.
-    pub fn new(to: SocketAddr, key: usize, poller: &Rc<Poller>, gauges: &[String]) -> Self {
-        let link = Link::new(to, key, poller);
+    pub fn new(to: SocketAddr, key: usize, system: &S, gauges: &[String]) -> Self {
+        let link = Link::new(to, key, system);
         let (cursor, unread, ticket) = (0, VecDeque::new(), 0);
-        let (poller, gauges) = (poller.clone(), gauges.to_vec());
+        let (system, gauges) = (system.clone(), gauges.to_vec());
         let (links, barrier, booted) = (0, None, false);
-        Kernel { link, key, poller, links, cursor, unread, ticket, gauges, barrier, booted }
+        Kernel { link, key, system, links, cursor, unread, ticket, gauges, barrier, booted }
     }
 
     /// From now on the kernel is at this address; true if that is another one. The numbers of its notices go
@@ -186,7 +186,7 @@
         if self.link.address() == to {
             return false;
         }
-        self.link = Link::new(to, self.key, &self.poller);
+        self.link = Link::new(to, self.key, &self.system);
         (self.barrier, self.booted) = (None, false);
         true
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,17 +7,15 @@
 pub mod accept;
 pub mod answer;
 pub mod checks;
-pub mod clock;
 pub mod config;
 pub mod counters;
 #[cfg(test)]
 mod cuts;
 pub mod fastcgi;
+pub mod io;
 pub mod kernel;
-pub mod link;
 pub mod log;
 pub mod members;
-pub mod poll;
 pub mod record;
 pub mod request;
 pub mod store;
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -4,24 +4,19 @@
 //! its tries to connect by chance, so that nodes that lost one server do not come back to it together.
 
 use super::counters::Counters;
-use super::link::{Change, Link};
-use super::poll::Watched;
+use super::io::link::{Change, Link};
+use super::io::{System, Worker};
 use gaugestand_core::facade::Micros;
 use gaugestand_core::register::Moment;
 use gaugestand_record::postgres::{Event, Fault, Login, Session};
 use gaugestand_record::row::{Batch, Cause, Outcome, Work};
-use gaugestand_record::sqlite::{Options, Sqlite};
-use gaugestand_record::worker::Worker;
+use gaugestand_record::sqlite::Options;
 use gaugestand_record::{Breaker, Ledger, Limits};
 use gaugestand_settings::{Backend, Record as Settings, Sync};
-use polling::Poller;
 use std::fs;
-use std::io::{self, Read};
 use std::net::SocketAddr;
-use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Instant;
 
 /// Descriptors that a store of record needs: its file, log, index and lock, two ends of the waking socket, and
 /// some to spare; or one connection.
@@ -39,23 +34,23 @@
 
 /// The store of record, as far as this node reaches it.
 #[derive(Debug)]
-pub struct Keeper {
-    way: Way,
+pub struct Keeper<S: System> {
+    way: Way<S>,
     /// What was last said of it, and when.
     said: Option<(Breaker, Micros)>,
 }
 
 #[derive(Debug)]
-enum Way {
+enum Way<S: System> {
     /// There is none.
     None,
-    Sqlite(Worker, Watched<UnixStream>),
-    Postgres(Box<Remote>),
+    Sqlite(S::Worker),
+    Postgres(Box<Remote<S>>),
 }
 
 #[derive(Debug)]
-struct Remote {
-    link: Link,
+struct Remote<S: System> {
+    link: Link<S>,
     login: Rc<Login>,
     session: Option<Session>,
     /// Of this life, once the node's name is taken.
@@ -94,14 +89,14 @@
     if line.is_empty() { Err(problem("its first line is empty")) } else { Ok(line.to_vec()) }
 }
 
-impl Keeper {
+impl<S: System> Keeper<S> {
     /// Opens what the settings name, and makes the ledger that goes with it. A file is read at once; a database is
     /// connected to by the loop.
     pub fn start(
         settings: Option<&Settings>,
         (name, seed, window): (&str, u64, Micros),
         key: usize,
-        poller: &Rc<Poller>,
+        system: &S,
         now: Moment,
     ) -> Result<(Self, Ledger), String> {
         let Some(settings) = settings else {
@@ -110,18 +105,14 @@
         let mut ledger = Ledger::durable(limits(settings, window), seed);
         let way = match &settings.backend {
             Backend::Sqlite { path, sync } => {
-                let began = Instant::now();
+                let began = system.moment().mono;
                 let options = Options { extra: *sync == Sync::Extra, ..Options::default() };
-                let store = Sqlite::open(path, &options).map_err(|e| e.to_string())?;
-                let found = store.recover(path, settings.entries).map_err(|e| e.to_string())?;
+                let (worker, found) = system.store(path, &options, settings.entries, key)?;
                 let (rows, epoch) = (found.found, found.epoch);
                 ledger.load(now, found);
-                said_recovered(rows, epoch, ledger.figures().in_doubt, began.elapsed().as_micros() as u64);
-                let io = |e: io::Error| format!("store of record: {e}");
-                let (ours, theirs) = UnixStream::pair().map_err(io)?;
-                ours.set_nonblocking(true).map_err(io)?;
-                let woken = Watched::new(poller, ours, key, true, false).map_err(io)?;
-                Way::Sqlite(Worker::start(store, theirs).map_err(io)?, woken)
+                let took = system.moment().mono.since(began);
+                said_recovered(rows, epoch, ledger.figures().in_doubt, took.0);
+                Way::Sqlite(worker)
             }
             Backend::Postgres { address, database, user, password_file } => {
                 let login = Login {
@@ -130,7 +121,7 @@
                     database: database.clone(),
                     node: name.to_string(),
                 };
-                Way::Postgres(Box::new(Remote::new(*address, login, settings.entries, seed, key, poller)))
+                Way::Postgres(Box::new(Remote::new(*address, login, settings.entries, seed, key, system)))
             }
         };
         Ok((Keeper { way, said: None }, ledger))
@@ -153,9 +144,8 @@
     ) {
         match &mut self.way {
             Way::None => {}
-            Way::Sqlite(worker, woken) => {
-                // The bytes say nothing; only that they came matters.
-                while matches!(woken.read(&mut [0; 64]), Ok(n) if n > 0) {}
+            Way::Sqlite(worker) => {
+                worker.woken();
                 while let Some((number, outcome)) = worker.outcome() {
                     ledger.outcome(now.mono, number, outcome);
                 }
@@ -168,7 +158,7 @@
     pub fn pump(&mut self, now: Moment, ledger: &mut Ledger) {
         match &mut self.way {
             Way::None => return,
-            Way::Sqlite(worker, _) => {
+            Way::Sqlite(worker) => {
                 if let Some(batch) = ledger.work(now.mono) {
                     // A thread that has ended proves nothing of what it had, and takes nothing more.
                     let dead = worker.is_dead();
@@ -228,17 +218,10 @@
     tracing::info!(rows, epoch, in_doubt, us, "store of record read");
 }
 
-impl Remote {
-    fn new(
-        address: SocketAddr,
-        login: Login,
-        entries: usize,
-        seed: u64,
-        key: usize,
-        poller: &Rc<Poller>,
-    ) -> Self {
+impl<S: System> Remote<S> {
+    fn new(address: SocketAddr, login: Login, entries: usize, seed: u64, key: usize, system: &S) -> Self {
         Remote {
-            link: Link::new(address, key, poller),
+            link: Link::new(address, key, system),
             login: Rc::new(login),
             session: None,
             epoch: None,
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -5,14 +5,13 @@
 //! run: a second copy of the first reply would pass for the reply to the second.
 
 use super::counters::Counters;
-use super::link::{CONNECT, Change, Link};
+use super::io::link::{CONNECT, Change, Link};
+use super::io::{Ready, System};
 use super::request::{id_of, id_text};
 use gaugestand_core::RequestId;
 use gaugestand_core::facade::{CallEnd, Micros};
-use polling::Poller;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 /// Longest first line of a reply.
 pub const MOST_LINE: usize = 128;
@@ -121,8 +120,8 @@
 
 /// One connection with the calls that are out on it.
 #[derive(Debug)]
-struct Lane {
-    link: Link,
+struct Lane<S: System> {
+    link: Link<S>,
     calls: BTreeMap<RequestId, Call>,
     /// Told apart from another one in the same place.
     serial: u64,
@@ -134,7 +133,7 @@
     retired: bool,
 }
 
-impl Lane {
+impl<S: System> Lane<S> {
     /// When it is to be looked at although nothing comes.
     fn due(&self) -> Option<Micros> {
         let late = self.calls.values().map(Call::over).min();
@@ -210,11 +209,11 @@
 
 /// The store, with the calls that are out.
 #[derive(Debug)]
-pub struct Store {
+pub struct Store<S: System> {
     to: Option<SocketAddr>,
     first_key: usize,
-    poller: Rc<Poller>,
-    lanes: Vec<Option<Lane>>,
+    system: S,
+    lanes: Vec<Option<Lane<S>>>,
     serial: u64,
     /// The lanes, by serial, that have had a call of a try.
     carried: BTreeMap<RequestId, Vec<u64>>,
@@ -226,13 +225,13 @@
     due: Micros,
 }
 
-impl Store {
+impl<S: System> Store<S> {
     /// A store at this address, reached over at most so many connections; where there is none, nobody can be
     /// reached.
-    pub fn new(to: Option<SocketAddr>, first_key: usize, most: usize, poller: &Rc<Poller>) -> Self {
+    pub fn new(to: Option<SocketAddr>, first_key: usize, most: usize, system: &S) -> Self {
         let lanes = (0..most).map(|_| None).collect();
-        let (poller, carried, due) = (poller.clone(), BTreeMap::new(), Micros(0));
-        Store { to, first_key, poller, lanes, serial: 0, carried, touched: vec![], unplaced: vec![], due }
+        let (system, carried, due) = (system.clone(), BTreeMap::new(), Micros(0));
+        Store { to, first_key, system, lanes, serial: 0, carried, touched: vec![], unplaced: vec![], due }
     }
 
     /// From now on new calls go to this address; those that are out end on the connections that they have.
@@ -267,8 +266,8 @@
         let to = self.to?;
         let had = self.carried.get(&id).map_or(&[][..], Vec::as_slice);
         let lanes = self.lanes.iter().enumerate().filter_map(|(place, l)| Some((place, l.as_ref()?)));
-        let may = |l: &Lane| !l.retired && l.partial.is_none() && !had.contains(&l.serial);
-        let lanes: Vec<(usize, &Lane)> = lanes.filter(|(_, l)| may(l)).collect();
+        let may = |l: &Lane<S>| !l.retired && l.partial.is_none() && !had.contains(&l.serial);
+        let lanes: Vec<(usize, &Lane<S>)> = lanes.filter(|(_, l)| may(l)).collect();
         let free = lanes.iter().filter(|(_, l)| l.calls.is_empty() && l.link.is_up());
         let free = free.filter(|(_, l)| now.since(l.used) < IDLE).max_by_key(|(_, l)| l.used);
         if let Some((place, _)) = free {
@@ -277,7 +276,7 @@
         let Some(place) = self.lanes.iter().position(Option::is_none) else {
             return lanes.iter().min_by_key(|(_, l)| l.calls.len()).map(|(place, _)| *place);
         };
-        let mut link = Link::new(to, self.first_key + place, &self.poller);
+        let mut link = Link::new(to, self.first_key + place, &self.system);
         if link.connect(now).is_some() {
             return None;
         }
@@ -289,7 +288,7 @@
 
     /// Gives up a call; nothing is heard of it any more.
     pub fn drop_call(&mut self, id: RequestId, counters: &mut Counters) {
-        let has = |l: &Option<Lane>| l.as_ref().is_some_and(|l| l.calls.contains_key(&id));
+        let has = |l: &Option<Lane<S>>| l.as_ref().is_some_and(|l| l.calls.contains_key(&id));
         let Some(place) = self.lanes.iter().position(has) else { return };
         let Some(lane) = &mut self.lanes[place] else { return };
         if lane.calls.remove(&id).is_some_and(|call| call.at.is_some()) {
@@ -311,7 +310,7 @@
     }
 
     /// The poller has something for the lane with this key; returns the calls that ended.
-    pub fn ready(&mut self, now: Micros, event: polling::Event, counters: &mut Counters) -> Vec<Ended> {
+    pub fn ready(&mut self, now: Micros, event: Ready, counters: &mut Counters) -> Vec<Ended> {
         let mut out = Vec::new();
         let place = event.key.wrapping_sub(self.first_key);
         let Some(Some(lane)) = self.lanes.get_mut(place) else { return out };
--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -3,16 +3,16 @@
 use super::accept::{self, ConnId, MOST_OPEN, Open, Table};
 use super::answer::Response;
 use super::checks::Checks;
-use super::clock::Clock;
 use super::config;
 use super::config::Config;
 use super::counters::Counters;
 use super::fastcgi::{self, Record, kind};
+use super::io::clock::Clock;
+use super::io::link::Change;
+use super::io::{Ready, System};
 use super::kernel::{Command, Fate, Kernel, Notice};
-use super::link::Change;
 use super::log::Logs;
 use super::members::Members;
-use super::poll::{Waiter, Watched};
 use super::record::{self, Keeper};
 use super::request::{Asked, Fault, TryParams};
 use super::store::{self, Ended, Store};
@@ -20,11 +20,9 @@
 use gaugestand_core::{Effect, RequestId, SettingsError};
 use gaugestand_record::{Breaker, Ledger};
 use gaugestand_settings::Backend;
-use polling::Poller;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::collections::BTreeMap;
 use std::io::{self, Read};
-use std::os::unix::net::UnixStream;
 use std::rc::Rc;
 use std::{fmt, mem};
 
@@ -82,56 +80,46 @@
 
 /// The node.
 #[derive(Debug)]
-pub struct Node {
+pub struct Node<S: System> {
+    system: S,
     config: Config,
     clock: Clock,
-    poller: Rc<Poller>,
-    table: Table,
+    table: Table<S>,
     /// What was read of one connection, for its records to be parsed where they lie.
     buffer: Vec<u8>,
-    kernel: Kernel,
-    store: Store,
-    members: Members,
+    kernel: Kernel<S>,
+    store: Store<S>,
+    members: Members<S>,
     facade: Facade<Ledger>,
-    record: Keeper,
+    record: Keeper<S>,
     logs: Logs,
     counters: Counters,
     tries: BTreeMap<RequestId, Place>,
     checks: Checks,
-    leave: Watched<UnixStream>,
-    print: Watched<UnixStream>,
-    reload: Watched<UnixStream>,
+    leave: S::Signals,
+    print: S::Signals,
+    reload: S::Signals,
     /// After the notice to leave: when the process is stopped.
     stop: Option<Micros>,
 }
 
-fn on_signal(poller: &Rc<Poller>, key: usize, signals: &[i32]) -> io::Result<Watched<UnixStream>> {
-    let (ours, theirs) = UnixStream::pair()?;
-    ours.set_nonblocking(true)?;
-    for signal in signals {
-        signal_hook::low_level::pipe::register(*signal, theirs.try_clone()?)?;
-    }
-    Watched::new(poller, ours, key, true, false)
-}
-
 fn longest_window(config: &Config) -> Micros {
     let keyed = config.settings.classes.iter().filter(|c| c.effect == Effect::Keyed);
     keyed.map(|c| c.dedup_window).max().unwrap_or_default().into()
 }
 
-impl Node {
+impl<S: System> Node<S> {
     /// Listens, and prepares everything else.
-    pub fn start(config: Config, logs: Logs) -> Result<Self, NodeError> {
-        let clock = Clock::default();
-        let poller = Rc::new(Poller::new().map_err(io_error("poller"))?);
+    pub fn start(system: S, config: Config, logs: Logs) -> Result<Self, NodeError> {
+        let clock = Clock::new(&system);
         let lanes = store::lanes_within(config.sockets);
         // The store is read before anybody can connect.
         let who = (config.name.as_str(), config.seed, longest_window(&config));
         let stored = config.operators.record.as_ref();
         let (record, ledger) =
-            Keeper::start(stored, who, RECORD, &poller, clock.moment()).map_err(NodeError::Record)?;
+            Keeper::start(stored, who, RECORD, &system, clock.moment()).map_err(NodeError::Record)?;
         let others = lanes + if ledger.is_durable() { record::SOCKETS } else { 0 };
-        let table = Table::listen(&poller, config.listen, LISTENER, FIRST_CONN, config.sockets - others)
+        let table = Table::listen(&system, config.listen, LISTENER, FIRST_CONN, config.sockets - others)
             .map_err(io_error("listening"))?;
         let facade =
             Facade::new(config.settings.clone(), config.seed, ledger).map_err(NodeError::Settings)?;
@@ -139,18 +127,18 @@
             clock,
             record,
             logs,
-            kernel: Kernel::new(config.kernel, KERNEL, &poller, &config.gauges),
-            store: Store::new(config.store, FIRST_LANE, lanes, &poller),
-            members: Members::new(config.members, &config.name).map_err(io_error("members"))?,
+            kernel: Kernel::new(config.kernel, KERNEL, &system, &config.gauges),
+            store: Store::new(config.store, FIRST_LANE, lanes, &system),
+            members: Members::new(&system, config.members, &config.name).map_err(io_error("members"))?,
             counters: Counters::default(),
             tries: BTreeMap::new(),
             checks: Checks::default(),
-            leave: on_signal(&poller, LEAVE, &[SIGTERM, SIGINT]).map_err(io_error("signals"))?,
-            print: on_signal(&poller, PRINT, &[SIGUSR1]).map_err(io_error("signals"))?,
-            reload: on_signal(&poller, RELOAD, &[SIGHUP]).map_err(io_error("signals"))?,
+            leave: system.signals(LEAVE, &[SIGTERM, SIGINT]).map_err(io_error("signals"))?,
+            print: system.signals(PRINT, &[SIGUSR1]).map_err(io_error("signals"))?,
+            reload: system.signals(RELOAD, &[SIGHUP]).map_err(io_error("signals"))?,
             stop: None,
             config,
-            poller,
+            system,
             table,
             buffer: accept::buffer(),
             facade,
@@ -164,14 +152,14 @@
 
     /// Turns until the end of a drain.
     pub fn run(&mut self) -> Result<(), NodeError> {
-        let mut waiter = Waiter::default();
+        let mut ready = Vec::new();
         let mut wake = self.clock.now();
         loop {
             let wait = wake.since(self.clock.now()).0.min(LONGEST_WAIT.0);
-            waiter.wait(&self.poller, Micros(wait)).map_err(io_error("poller"))?;
-            self.clock.read();
-            for event in waiter.ready() {
-                self.take(event);
+            self.system.wait(Micros(wait), &mut ready).map_err(io_error("poller"))?;
+            self.clock.read(&self.system);
+            for event in &ready {
+                self.take(*event);
             }
             wake = self.pass();
             if self.is_over() {
@@ -251,7 +239,7 @@
         self.record.flush(now, self.facade.register());
     }
 
-    fn take(&mut self, event: polling::Event) {
+    fn take(&mut self, event: Ready) {
         let now = self.clock.now();
         match event.key {
             LISTENER => self.table.accept(now, &mut self.counters),
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use bpaf::{OptionParser, Parser, construct, long, pure};
 use gaugestand_node as node;
 use gaugestand_node::config::ConfigError;
+use gaugestand_node::io::real::Real;
 use gaugestand_node::log::Logs;
 use record::{Task, Which};
 use std::io::Write as _;
@@ -106,8 +107,10 @@
 fn serve(settings: Option<PathBuf>) -> Result<(), Failure> {
     let config = node::config::load(settings.as_deref())?;
     let name = config.name.clone();
+    let system = Real::new().map_err(|e| Failure::Start(format!("poller: {e}")))?;
     let logs = Logs::start(config.operators.log);
-    let mut node = node::turn::Node::start(config, logs).map_err(|e| Failure::Start(e.to_string()))?;
+    let mut node =
+        node::turn::Node::start(system, config, logs).map_err(|e| Failure::Start(e.to_string()))?;
     if let Some(address) = node.address() {
         tracing::info!(node = name, %address, "listening");
     }
