Play the node in a virtual world: seeded faults, models of its peers, every rule checked

crates/lab: a network and a clock that exist only in it, under the node's seam; kernel, gateways, the tier below; eight kinds of faults drawn from a seed; rules checked after each event on what passes and what the kernel did. Of the outside a store of record, checks and reloads are still missing, and defects to find.

--- /dev/null
+++ b/crates/lab/src/standins/mod.rs
@@ -0,0 +1,5 @@
+//! Models of what is outside a node, from the protocol's pages: each takes time and bytes, and gives bytes.
+
+pub mod fares;
+pub mod fastcgi;
+pub mod kernel;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -217,9 +217,14 @@
 fn told() -> Result<Config, ConfigError> {
     let Ok(path) = env::var("BALANCER_CONFIG") else { return wrong("BALANCER_CONFIG", "is not set") };
     let text = fs::read_to_string(&path).or_else(|e| wrong("BALANCER_CONFIG", &e.to_string()))?;
-    let mut file: File = serde_json::from_str(&text).or_else(|e| wrong("BALANCER_CONFIG", &e.to_string()))?;
-    file.name = env::var("BALANCER_NAME").ok().or(file.name);
-    file.listen = env::var("BALANCER_LISTEN").ok().or(file.listen);
+    parse(&text, env::var("BALANCER_NAME").ok(), env::var("BALANCER_LISTEN").ok())
+}
+
+/// Reads a configuration from its JSON; a name and an address given beside it go before its own.
+pub fn parse(text: &str, name: Option<String>, listen: Option<String>) -> Result<Config, ConfigError> {
+    let mut file: File = serde_json::from_str(text).or_else(|e| wrong("BALANCER_CONFIG", &e.to_string()))?;
+    file.name = name.or(file.name);
+    file.listen = listen.or(file.listen);
     check(file)
 }
 
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -16,8 +16,11 @@
 /// Longest wait at the end for what is still to be written.
 const LAST_WAIT: Duration = Duration::from_millis(50);
 
-/// The way to standard error, for as long as this lives.
-pub struct Logs {
+/// The way to standard error, for as long as this lives; or nowhere.
+#[derive(Default)]
+pub struct Logs(Option<Lines>);
+
+struct Lines {
     writer: NonBlocking,
     dropped: ErrorCounter,
     guard: Option<WorkerGuard>,
@@ -57,27 +60,31 @@
             Form::Text => registry.with(lines).try_init(),
             Form::Json => registry.with(lines.json().flatten_event(true)).try_init(),
         };
-        Logs { writer, dropped, guard: Some(guard), level: handle }
+        Logs(Some(Lines { writer, dropped, guard: Some(guard), level: handle }))
     }
 
     /// From now on lines of this level and above are written.
     pub fn set_level(&self, level: Level) {
-        // It can only fail once the subscriber is gone, and then nothing is written anyway.
-        let _ = self.level.reload(filter(level));
+        if let Some(lines) = &self.0 {
+            // It can only fail once the subscriber is gone, and then nothing is written anyway.
+            let _ = lines.level.reload(filter(level));
+        }
     }
 
     /// Lines that nobody read in time.
     pub fn dropped(&self) -> u64 {
-        self.dropped.dropped_lines() as u64
+        self.0.as_ref().map_or(0, |lines| lines.dropped.dropped_lines() as u64)
     }
 
     /// Text that is no line of the log, such as the counters: it goes the same way.
     pub fn print(&mut self, text: &str) {
-        let _ = self.writer.write_all(text.as_bytes());
+        if let Some(lines) = &mut self.0 {
+            let _ = lines.writer.write_all(text.as_bytes());
+        }
     }
 }
 
-impl Drop for Logs {
+impl Drop for Lines {
     /// Writes what waits. Guards against a reader that stalls: the end of a drain does not wait for it.
     fn drop(&mut self) {
         let Some(guard) = self.guard.take() else { return };
--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -157,18 +157,33 @@
         loop {
             let wait = wake.since(self.clock.now()).0.min(LONGEST_WAIT.0);
             self.system.wait(Micros(wait), &mut ready).map_err(io_error("poller"))?;
-            self.clock.read(&self.system);
-            for event in &ready {
-                self.take(*event);
-            }
-            wake = self.pass();
-            if self.is_over() {
-                self.print_counters();
-                return Ok(());
+            match self.turn(&ready) {
+                Some(next) => wake = next,
+                None => return Ok(()),
             }
         }
     }
 
+    /// One turn: takes in what is ready and does what is due. Returns when the next one is due though nothing may be
+    /// ready, or nothing at the end of a drain.
+    pub fn turn(&mut self, ready: &[Ready]) -> Option<Micros> {
+        self.clock.read(&self.system);
+        for event in ready {
+            self.take(*event);
+        }
+        let wake = self.pass();
+        if self.is_over() {
+            self.print_counters();
+            return None;
+        }
+        Some(wake)
+    }
+
+    /// What it has counted so far.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
     fn is_over(&self) -> bool {
         let Some(stop) = self.stop else { return false };
         let now = self.clock.now();
