--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -603,6 +603,12 @@
             self.note(|| format!("{id} answered {}", answer.status));
             self.rules.answered(now, &id, answer.status, &answer.body);
             if let Some((request, _, _)) = self.tries.remove(&id) {
+                if answer.status == 200 && request.key.is_some() && self.dice.chance(0.2) {
+                    // Some come again round the edge of the window, from well within it to just past it.
+                    let edge = Micros(WINDOW.0 - 3_000_000 + self.dice.below(3_300_000));
+                    let late = Request { tries_left: 1, ..request.clone() };
+                    self.at(now.plus(edge), Event::Try(late));
+                }
                 // A booking is asked for again also after its result, as the way back may have been lost.
                 if answer.status != 200 || request.key.is_some() && self.dice.chance(0.3) {
                     self.again(request);
