Answer operators at a second address, with figures that each request's end adds to

Ruled out: nothing of the node was late, there was no such address. Change: node::admin (a listener and eight callers with descriptors of their own), node::figures (each taken request ends once, in Node::ended). The virtual world checks taken = ended + concurrent after every turn.

--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -249,7 +249,7 @@
         self.life += 1;
         self.leaving = false;
         let text = Self::configuration(seed.wrapping_add(u64::from(self.life)));
-        let node = config::parse(&text, None, None).map_err(|e| e.to_string()).and_then(|c| {
+        let node = config::parse(&text, None, None, None).map_err(|e| e.to_string()).and_then(|c| {
             Node::start(Virtual(self.net.clone()), c, Logs::default()).map_err(|e| e.to_string())
         });
         match node {
@@ -336,7 +336,13 @@
         if self.turns.1 > MOST_TURNS {
             self.rules.wrong(t, "busy", format!("turns without end; ready: {ready:?}"));
         }
-        match node.turn(&ready) {
+        let next = node.turn(&ready);
+        // Guards against a path on which a request ends uncounted, or twice.
+        if !node.figures().add_up(node.open_tries()) {
+            let seen = node.figures().text(node.open_tries(), &[]);
+            self.rules.wrong(t, "figures", seen);
+        }
+        match next {
             // Time passes while a node works: the next turn is a moment later.
             Some(wake) => self.wake = wake.max(t.plus(Micros(1))),
             None => {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -28,6 +28,8 @@
     pub members: Option<SocketAddr>,
     /// Where its calls go.
     pub store: Option<SocketAddr>,
+    /// Where operators' calls come in.
+    pub admin: Option<SocketAddr>,
     /// For random choices.
     pub seed: u64,
     /// From the notice to leave to the end.
@@ -79,6 +81,7 @@
     kernel: Option<String>,
     members: Option<String>,
     store: Option<String>,
+    admin_addr: Option<String>,
     seed: Option<String>,
     stop_ms: u64,
     limits: Limits,
@@ -217,14 +220,21 @@
 fn told() -> Result<Config, ConfigError> {
     let Ok(path) = env::var("BALANCER_CONFIG") else { return wrong("BALANCER_CONFIG", "is not set") };
     let text = fs::read_to_string(&path).or_else(|e| wrong("BALANCER_CONFIG", &e.to_string()))?;
-    parse(&text, env::var("BALANCER_NAME").ok(), env::var("BALANCER_LISTEN").ok())
+    let given = |name: &str| env::var(name).ok();
+    parse(&text, given("BALANCER_NAME"), given("BALANCER_LISTEN"), given("BALANCER_ADMIN_ADDR"))
 }
 
-/// Reads a configuration from its JSON; a name and an address given beside it go before its own.
-pub fn parse(text: &str, name: Option<String>, listen: Option<String>) -> Result<Config, ConfigError> {
+/// Reads a configuration from its JSON; a name and addresses given beside it go before its own.
+pub fn parse(
+    text: &str,
+    name: Option<String>,
+    listen: Option<String>,
+    admin: Option<String>,
+) -> Result<Config, ConfigError> {
     let mut file: File = serde_json::from_str(text).or_else(|e| wrong("BALANCER_CONFIG", &e.to_string()))?;
     file.name = name.or(file.name);
     file.listen = listen.or(file.listen);
+    file.admin_addr = admin.or(file.admin_addr);
     check(file)
 }
 
@@ -286,6 +296,7 @@
         kernel: address("kernel", file.kernel)?,
         members: file.members.map(|a| address("members", Some(a))).transpose()?,
         store: file.store.map(|a| address("store", Some(a))).transpose()?,
+        admin: file.admin_addr.map(|a| address("admin_addr", Some(a))).transpose()?,
         seed,
         stop: Micros::millis(file.stop_ms),
         sockets,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(unsafe_code)]
 
 pub mod accept;
+pub mod admin;
 pub mod answer;
 pub mod checks;
 pub mod config;
@@ -12,6 +13,7 @@
 #[cfg(test)]
 mod cuts;
 pub mod fastcgi;
+pub mod figures;
 pub mod io;
 pub mod kernel;
 pub mod log;
--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -1,12 +1,14 @@
 //! The loop: one turn takes in what the poller has, asks the facade, carries out its verdicts and writes.
 
 use super::accept::{self, ConnId, MOST_OPEN, Open, Table};
+use super::admin::{self, Admin, Call, Said};
 use super::answer::Response;
 use super::checks::Checks;
 use super::config;
 use super::config::Config;
 use super::counters::Counters;
 use super::fastcgi::{self, Record, kind};
+use super::figures::{End, Figures};
 use super::io::clock::Clock;
 use super::io::link::Change;
 use super::io::{Ready, System};
@@ -17,6 +19,7 @@
 use super::request::{Asked, Fault, TryParams};
 use super::store::{self, Ended, Store};
 use gaugestand_core::facade::{Arrival, Facade, Micros, Report, RunEnd, Unfit, Verdict};
+use gaugestand_core::register::Register as _;
 use gaugestand_core::{Effect, RequestId, SettingsError};
 use gaugestand_record::{Breaker, Ledger};
 use gaugestand_settings::Backend;
@@ -33,7 +36,9 @@
 const PRINT: usize = 3;
 const RELOAD: usize = 4;
 const RECORD: usize = 5;
-const FIRST_LANE: usize = 8;
+const ADMIN: usize = 6;
+const FIRST_CALLER: usize = 8;
+const FIRST_LANE: usize = FIRST_CALLER + admin::MOST_CALLERS;
 const FIRST_CONN: usize = FIRST_LANE + store::MOST_LANES;
 
 /// Longest wait for the poller, so that a clock that was set wrong is noticed.
@@ -76,6 +81,8 @@
     body: Vec<u8>,
     /// The body of the call that its run waits for.
     call: Vec<u8>,
+    /// It was taken and has not ended; see [`Node::ended`].
+    open: bool,
 }
 
 /// The node.
@@ -94,6 +101,8 @@
     record: Keeper<S>,
     logs: Logs,
     counters: Counters,
+    admin: Admin<S>,
+    figures: Figures,
     tries: BTreeMap<RequestId, Place>,
     checks: Checks,
     leave: S::Signals,
@@ -118,7 +127,13 @@
         let stored = config.operators.record.as_ref();
         let (record, ledger) =
             Keeper::start(stored, who, RECORD, &system, clock.moment()).map_err(NodeError::Record)?;
-        let others = lanes + if ledger.is_durable() { record::SOCKETS } else { 0 };
+        let others = lanes
+            + if ledger.is_durable() { record::SOCKETS } else { 0 }
+            + if config.admin.is_some() { admin::SOCKETS } else { 0 };
+        let admin = Admin::listen(&system, config.admin, ADMIN, FIRST_CALLER)
+            .map_err(io_error("listening at the second address"))?;
+        let mut figures = Figures::default();
+        figures.list(&config.classes);
         let table = Table::listen(&system, config.listen, LISTENER, FIRST_CONN, config.sockets - others)
             .map_err(io_error("listening"))?;
         let facade =
@@ -131,6 +146,8 @@
             store: Store::new(config.store, FIRST_LANE, lanes, &system),
             members: Members::new(&system, config.members, &config.name).map_err(io_error("members"))?,
             counters: Counters::default(),
+            admin,
+            figures,
             tries: BTreeMap::new(),
             checks: Checks::default(),
             leave: system.signals(LEAVE, &[SIGTERM, SIGINT]).map_err(io_error("signals"))?,
@@ -150,6 +167,11 @@
         self.table.address()
     }
 
+    /// The address at which it answers operators' calls.
+    pub fn admin_address(&self) -> Option<std::net::SocketAddr> {
+        self.admin.address()
+    }
+
     /// Turns until the end of a drain.
     pub fn run(&mut self) -> Result<(), NodeError> {
         let mut ready = Vec::new();
@@ -210,6 +232,7 @@
         for (conn, fcgi) in self.checks.post(now, &mut self.kernel, &mut self.counters) {
             self.end_check(conn, fcgi, false);
         }
+        self.admin.tick(now);
         let look = self.table.tick(now, &mut self.counters);
         self.connections_gone(look.gone);
         for (conn, fcgi) in look.unfinished {
@@ -230,7 +253,14 @@
         let leaving = self
             .stop
             .map(|stop| stop.since(if now.plus(STOP_LISTENING) < stop { STOP_LISTENING } else { GONE }));
-        wake.extend([self.kernel.wake(), self.store.wake(), self.checks.wake(), self.record.wake(), leaving]);
+        wake.extend([
+            self.kernel.wake(),
+            self.store.wake(),
+            self.checks.wake(),
+            self.record.wake(),
+            self.admin.wake(),
+            leaving,
+        ]);
         // Nothing is looked at again at once: what is overdue then waits for something else to happen.
         wake.into_iter().flatten().min().unwrap_or(now.plus(LONGEST_WAIT)).max(now.plus(Micros(200)))
     }
@@ -275,6 +305,13 @@
                 let (now, ready) = (self.clock.moment(), (event.readable, event.writable));
                 self.record.ready(now, ready, self.facade.register(), &mut self.counters);
             }
+            ADMIN => self.admin.accept(now),
+            key if self.admin.has_key(key) => {
+                if let Some((place, said)) = self.admin.ready(event) {
+                    let answer = self.tell(said);
+                    self.admin.answer(place, answer);
+                }
+            }
             key if self.store.has_key(key) => {
                 let ended = self.store.ready(now, event, &mut self.counters);
                 self.calls_ended(ended);
@@ -310,8 +347,10 @@
     fn take_configuration(&mut self) {
         let new = config::reload(&self.config).map_err(|e| e.to_string());
         let moved = new.and_then(|new| {
-            // Of all steps only this one can fail: it comes first.
+            // Of all steps only these can fail: they come first, and the last one of them is the first to take effect.
+            let admin = self.admin.prepare(new.admin).map_err(|e| format!("admin_addr: {e}"))?;
             self.members.move_to(new.members).map_err(|e| format!("members: {e}"))?;
+            self.admin.move_to(admin);
             Ok(new)
         });
         match moved {
@@ -345,6 +384,58 @@
         self.facade.register().set_limits(record::limits(stored, longest_window(new)));
     }
 
+    // ---- The second address --------------------------------------------------------------------------
+
+    fn tell(&mut self, said: Said) -> String {
+        match said {
+            Said::Whole(Call::Ping) => match self.takes_clients() {
+                Ok(()) => "done\n".into(),
+                Err(why) => format!("error {why}\n"),
+            },
+            Said::Whole(Call::Info) => {
+                let others = [
+                    ("dispatches", self.counters.runs_sent),
+                    ("reload_success", self.counters.reloads),
+                    ("reload_failure", self.counters.reloads_failed),
+                ];
+                self.figures.text(self.open_tries(), &others) + "end\n"
+            }
+            Said::Wrong(why) => format!("error {why}\n"),
+            Said::Part => "error no line\n".into(),
+        }
+    }
+
+    /// Whether requests that come now are taken by this process, or why not.
+    fn takes_clients(&mut self) -> Result<(), &'static str> {
+        let up = self.facade.is_up();
+        let steps = [
+            (self.stop.is_none(), "it leaves service"),
+            (self.table.address().is_some(), "it does not listen"),
+            (up, "its kernel is not up"),
+            (self.facade.register().is_ready(), "keys are not in place"),
+        ];
+        steps.into_iter().find(|step| !step.0).map_or(Ok(()), |(_, why)| Err(why))
+    }
+
+    /// Requests that were taken and have not ended.
+    pub fn open_tries(&self) -> usize {
+        self.tries.values().filter(|place| place.open).count()
+    }
+
+    /// What operators are told of.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// The one place where a request that was taken ends, for whatever reason; the first one counts.
+    fn ended(&mut self, id: RequestId, end: End) {
+        if let Some(place) = self.tries.get_mut(&id).filter(|place| place.open) {
+            place.open = false;
+            let class = self.config.classes.get(place.class).map_or("", String::as_str);
+            self.figures.ended(class, end);
+        }
+    }
+
     // ---- Connections of gateways ---------------------------------------------------------------------
 
     fn take_conn(&mut self, id: ConnId, readable: bool) {
@@ -459,17 +550,22 @@
             caller: t.router,
         };
         let mut verdicts = Vec::new();
-        match self.facade.pick(self.clock.moment(), arrival, &mut verdicts) {
-            Ok(()) => {}
-            // Whatever became of the other one, this one cannot be told apart from it.
-            Err(Unfit::Known) => return self.bad(conn, fcgi, keeps, Fault::Malformed("X-Txn")),
-            Err(Unfit::OtherBody) => return self.bad(conn, fcgi, keeps, Fault::Conflict),
-        }
+        if let Err(unfit) = self.facade.pick(self.clock.moment(), arrival, &mut verdicts) {
+            let class = self.config.classes.get(t.class).map_or("", String::as_str);
+            self.figures.turned_down(class, End::Error);
+            let fault = match unfit {
+                // Whatever became of the other one, this one cannot be told apart from it.
+                Unfit::Known => Fault::Malformed("X-Txn"),
+                Unfit::OtherBody => Fault::Conflict,
+            };
+            return self.bad(conn, fcgi, keeps, fault);
+        }
+        self.figures.taken();
         self.counters.requests_read += 1;
         if let Some(c) = self.table.get(conn) {
             c.open.insert(fcgi, Open::Owed(t.id, keeps));
         }
-        self.tries.insert(t.id, Place { conn, fcgi, class: t.class, body, call: Vec::new() });
+        self.tries.insert(t.id, Place { conn, fcgi, class: t.class, body, call: Vec::new(), open: true });
         self.carry_out(verdicts);
     }
 
@@ -488,12 +584,14 @@
         self.counters.aborts_read += 1;
         self.respond(conn, fcgi, open.keeps(), &Response::plain("500 Aborted", None));
         if let Open::Owed(id, _) = open {
+            self.ended(id, End::Error);
             self.report(Report::Aborted(id));
         }
     }
 
     fn connections_gone(&mut self, ids: Vec<RequestId>) {
         for id in ids {
+            self.ended(id, End::Error);
             self.report(Report::Aborted(id));
         }
     }
@@ -655,20 +753,24 @@
                 }
                 Verdict::DropCall(id) => self.store.drop_call(id, &mut self.counters),
                 Verdict::Refuse { id, stay_away, give_up } => {
+                    self.ended(id, End::Overload);
                     let status = "503 Service Unavailable";
                     let done = self.answer(id, status, stay_away, give_up, nothing.clone());
                     self.counters.answers_refused += u64::from(done);
                 }
                 Verdict::Fail { id, stay_away, give_up } => {
+                    self.ended(id, End::Error);
                     let status = "500 Internal Server Error";
                     let done = self.answer(id, status, stay_away, give_up, nothing.clone());
                     self.counters.answers_failed += u64::from(done);
                 }
                 Verdict::Serve(id, result) => {
+                    self.ended(id, End::Success);
                     let done = self.answer(id, "200 OK", Micros(0), false, result);
                     self.counters.answers_served += u64::from(done);
                 }
                 Verdict::Replay(id, result) => {
+                    self.ended(id, End::Success);
                     let done = self.answer(id, "200 OK", Micros(0), false, result);
                     self.counters.answers_replayed += u64::from(done);
                 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -112,7 +112,8 @@
     let mut node =
         node::turn::Node::start(system, config, logs).map_err(|e| Failure::Start(e.to_string()))?;
     if let Some(address) = node.address() {
-        tracing::info!(node = name, %address, "listening");
+        let admin = node.admin_address().map(tracing::field::display);
+        tracing::info!(node = name, admin, %address, "listening");
     }
     node.run().map_err(|e| Failure::Start(e.to_string()))
 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -82,7 +82,7 @@
 
 /// Starts the program on a configuration and waits until it listens. Whoever has the child waits for its end.
 #[allow(clippy::zombie_processes)]
-fn serve(config: &Path, script: Option<&Path>) -> (Child, BufReader<Box<dyn Read>>, String) {
+fn serve(config: &Path, script: Option<&Path>) -> (Child, BufReader<Box<dyn Read>>, [String; 2]) {
     let mut command = command(config, "serve");
     if let Some(other) = PROGRAM.lock().expect("no thread has panicked").clone() {
         let mut earlier = Command::new(other);
@@ -100,12 +100,32 @@
         }
         let said_so = ["address=", "address\":\"", "listens on "].iter().find_map(|w| line.split_once(w));
         if let Some((_, address)) = said_so {
-            let address = address.trim().split('"').next().unwrap_or_default().to_string();
-            return (child, said, address);
+            let word = |text: &str| text.trim().split(['"', ' ']).next().unwrap_or_default().to_string();
+            let admin = line.split_once("admin=").map(|(_, admin)| word(admin));
+            return (child, said, [word(address), admin.unwrap_or_default()]);
         }
     }
 }
 
+/// What an operator's call at this address is answered.
+pub fn call(admin: &str, line: &str) -> String {
+    let mut caller = patient(TcpStream::connect(admin).expect("the second address"));
+    caller.write_all(line.as_bytes()).expect("sent");
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).expect("text, then an end");
+    answer
+}
+
+/// The figure of this name in the answer to `INFO`.
+pub fn figure(answer: &str, name: &str) -> u64 {
+    assert!(answer.ends_with("\nend\n"), "{answer}");
+    let line =
+        answer.lines().find_map(|l| l.strip_prefix("balancer.")?.strip_prefix(name)?.strip_prefix(':'));
+    let (n, kind) = line.and_then(|l| l.split_once('|')).unwrap_or_else(|| panic!("no {name} in {answer}"));
+    assert_eq!(kind, if name == "concurrent" { "g" } else { "c" }, "{name}");
+    n.parse().expect("a number")
+}
+
 /// The node and the listeners of all its peers.
 pub struct Scene {
     child: Child,
@@ -114,6 +134,8 @@
     script: Option<PathBuf>,
     text: Value,
     pub address: String,
+    /// Where operators' calls come in; empty unless the configuration has one.
+    pub admin: String,
     pub kernel: TcpListener,
     pub store: Socket,
     pub members: UdpSocket,
@@ -143,8 +165,8 @@
             std::fs::write(&path, text).expect("a script");
             path
         });
-        let (child, said, address) = serve(&config, script.as_deref());
-        Scene { child, said, config, script, text, address, kernel, store, members }
+        let (child, said, [address, admin]) = serve(&config, script.as_deref());
+        Scene { child, said, config, script, text, address, admin, kernel, store, members }
     }
 
     /// Kills the program outright and starts it again, with the same configuration and peers.
@@ -157,7 +179,7 @@
         self.child.kill().expect("it can be killed");
         let _ = self.child.wait();
         between();
-        (self.child, self.said, self.address) = serve(&self.config, self.script.as_deref());
+        (self.child, self.said, [self.address, self.admin]) = serve(&self.config, self.script.as_deref());
     }
 
     /// Puts another script in place of the present one, and tells the program.
@@ -227,6 +249,16 @@
         self.text.clone()
     }
 
+    /// What an operator's call is answered, up to the end of the connection.
+    pub fn call(&self, line: &str) -> String {
+        call(&self.admin, line)
+    }
+
+    /// The figure of this name.
+    pub fn figure(&self, name: &str) -> u64 {
+        figure(&self.call("INFO\n"), name)
+    }
+
     /// The next line on standard error.
     pub fn said(&mut self) -> String {
         let mut line = String::new();
