--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -4,6 +4,7 @@
 //! shares, calls, memory and crowd guards, signals, health and connections, drain.
 
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // ---- Constants: unit, reason, source -----------------------------------------------------------------
@@ -77,7 +78,7 @@
 // ---- Request table -----------------------------------------------------------------------------------
 
 /// Where a request stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum Phase {
     /// Read, waiting to run.
     Held,
@@ -93,7 +94,7 @@
     Calling,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Entry {
     class: usize,
     tenant: usize,
@@ -139,7 +140,7 @@
 type HoldKey = (i32, Time, RequestId);
 
 /// Decides for one worker; see the crate's page.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Controller {
     s: Settings,
     now: Time,
@@ -166,7 +167,7 @@
     drain: Option<(Time, Time)>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Calls {
     waiting: BTreeSet<HoldKey>,
     out: usize,
@@ -184,7 +185,7 @@
 
 // ---- Estimators: Ne, L, Ti, service time per class, core speed ---------------------------------------
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Estimators {
     period: Span,
     period_began: Time,
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -8,11 +8,12 @@
 use crate::decide::Controller;
 use crate::interface::*;
 use crate::register::{Begin, Ended, Found, Join, Moment, Register, RunResult, Settled};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// A point on the monotonic clock, or a length of time, in whole microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Micros(pub u64);
 
 impl Micros {
@@ -93,7 +94,7 @@
 }
 
 /// How a call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallEnd {
     /// The reply was handed to the run.
     Good,
@@ -186,7 +187,7 @@
 }
 
 /// What the facade knows of one try.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Try {
     class: usize,
     repeat_key: Option<Rc<str>>,
@@ -203,6 +204,20 @@
     calling: bool,
 }
 
+/// All of a facade but its table of keys: what another process needs to go on in its place. Times are those of the
+/// clock that it was made under.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Carried {
+    settings: Settings,
+    controller: Option<Controller>,
+    tries: BTreeMap<RequestId, Try>,
+    owed: BTreeSet<(Micros, RequestId)>,
+    timers: BTreeSet<(Micros, u64)>,
+    due_timers: Vec<u64>,
+    capacity: Option<f64>,
+    good: bool,
+}
+
 /// The controller with all that it needs of a host; see the module's page.
 #[derive(Debug)]
 pub struct Facade<R> {
@@ -247,6 +262,59 @@
         })
     }
 
+    /// All but the table of keys, as it is now.
+    pub fn carry(&self) -> Carried {
+        Carried {
+            settings: self.settings.clone(),
+            controller: self.controller.clone(),
+            tries: self.tries.clone(),
+            owed: self.owed.clone(),
+            timers: self.timers.clone(),
+            due_timers: self.due_timers.clone(),
+            capacity: self.capacity,
+            good: self.good,
+        }
+    }
+
+    /// Lets go of all but the table of keys: another facade goes on in its place.
+    pub fn retire(&mut self) {
+        self.controller = None;
+        self.tries.clear();
+        self.owed.clear();
+        self.timers.clear();
+        self.due_timers.clear();
+    }
+
+    /// Tries whose work was begun and has not ended.
+    pub fn running(&self) -> Vec<RequestId> {
+        self.tries.iter().filter(|(_, t)| t.running).map(|(id, _)| *id).collect()
+    }
+
+    /// Which classes are keyed, by index.
+    pub fn keyed(&self) -> Vec<bool> {
+        self.settings.classes.iter().map(|c| c.effect == Effect::Keyed).collect()
+    }
+
+    /// The longest deadline of any class.
+    pub fn longest_deadline(&self) -> Micros {
+        self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default().into()
+    }
+
+    /// Goes on in the place of another facade.
+    pub fn resume(&mut self, carried: Carried) {
+        self.settings = carried.settings;
+        self.controller = carried.controller;
+        self.tries = carried.tries;
+        (self.owed, self.timers, self.due_timers) = (carried.owed, carried.timers, carried.due_timers);
+        (self.capacity, self.good) = (carried.capacity, carried.good);
+        self.asked = None;
+    }
+
+    /// The link to what does the work is up or down, though nothing is decided here yet.
+    pub fn set_linked(&mut self, up: bool) {
+        self.linked = up;
+    }
+
     /// The free value that goes with every answer and check, once there is one.
     pub fn capacity(&self) -> Option<f64> {
         self.capacity
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -2,14 +2,15 @@
 //!
 //! Nothing here decides anything: settings and events go in, actions come out.
 
+use serde::{Deserialize, Serialize};
 use std::ops::{Add, Sub};
 
 /// A point on the worker's clock, in nanoseconds from no particular origin.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Time(pub u64);
 
 /// A length of time in nanoseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Span(pub u64);
 
 impl Span {
@@ -52,11 +53,11 @@
 }
 
 /// Names one try of a request; never reused by the worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestId(pub u128);
 
 /// What a second run of a request would do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     /// Safe to repeat.
     Pure,
@@ -67,7 +68,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// An answer within this time of the first try earns the full worth.
     pub aim: Span,
@@ -90,7 +91,7 @@
 }
 
 /// One tenant.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Requests a second over all workers that are within its share.
     pub quota_per_s: f64,
@@ -99,7 +100,7 @@
 }
 
 /// What stopping a run does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Halt {
     /// Runs cannot be stopped.
     Never,
@@ -110,7 +111,7 @@
 }
 
 /// What callers take the announced value to mean.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Signal {
     /// No value can be announced.
     Silent,
@@ -123,7 +124,7 @@
 }
 
 /// What lies below the workers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Below {
     /// Nothing.
     Nothing,
@@ -134,7 +135,7 @@
 }
 
 /// Whether worth counts by request or by unit of work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorthBy {
     /// Each request counts its class's worth.
     Request,
@@ -143,7 +144,7 @@
 }
 
 /// Everything a controller is told at its start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// Classes, by index.
     pub classes: Vec<Class>,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod facade;
 mod interface;
 pub mod register;
+pub mod succession;
 
 pub use decide::Controller;
 pub use interface::*;
--- a/crates/core/src/register.rs
+++ b/crates/core/src/register.rs
@@ -6,10 +6,11 @@
 
 use crate::facade::Micros;
 use crate::interface::RequestId;
+use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
 /// A moment on both clocks. The monotonic one can't be set; the wall clock is the one that survives a restart.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Moment {
     /// Monotonic time of this process.
     pub mono: Micros,
--- a/crates/lab/src/net.rs
+++ b/crates/lab/src/net.rs
@@ -5,7 +5,7 @@
 
 use gaugestand_core::facade::Micros;
 use gaugestand_core::register::Moment;
-use gaugestand_node::io::{Datagram, Listener, Ready, Stream, System, Worker};
+use gaugestand_node::io::{Claim, Datagram, Kin, Listener, Passed, Ready, Stream, System, Worker};
 use gaugestand_record::row::{Batch, Outcome, Recovery};
 use gaugestand_record::sqlite::Options;
 use rand_pcg::Pcg64Mcg;
@@ -337,6 +337,9 @@
     type Datagram = Reports;
     type Signals = Told;
     type Worker = NoStore;
+    type Kin = Nobody;
+    type Door = Nobody;
+    type Claim = Nobody;
 
     fn moment(&self) -> Moment {
         self.0.borrow().moment()
@@ -367,12 +370,81 @@
         Err(format!("{}: there is no disk in this world yet", path.display()))
     }
 
+    fn door(&self, _: &Path, _: usize) -> io::Result<Nobody> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
+
+    fn kin(&self, _: &Path, _: usize) -> io::Result<Nobody> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
+
+    fn claim(&self, _: &Path) -> io::Result<Option<Nobody>> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
+
+    fn align(&self, _: Moment) {}
+
     fn wait(&self, _: Micros, ready: &mut Vec<Ready>) -> io::Result<()> {
         *ready = self.0.borrow().ready();
         Ok(())
     }
 }
 
+/// Another process of the node: there is none in this world yet.
+#[derive(Debug)]
+pub enum Nobody {}
+
+impl Kin for Nobody {
+    type Stream = Pipe;
+    type Listener = Door;
+
+    fn send(&mut self, _: &[u8], _: Passed<'_, Pipe, Door>) -> io::Result<usize> {
+        match *self {}
+    }
+
+    fn receive(&mut self, _: &mut [u8]) -> io::Result<usize> {
+        match *self {}
+    }
+
+    fn take_stream(&mut self, _: usize) -> io::Result<Pipe> {
+        match *self {}
+    }
+
+    fn take_listener(&mut self, _: usize) -> io::Result<Door> {
+        match *self {}
+    }
+
+    fn watch(&mut self, _: bool, _: bool) -> io::Result<()> {
+        match *self {}
+    }
+}
+
+impl Claim for Nobody {
+    fn marks(&self) -> io::Result<u64> {
+        match *self {}
+    }
+
+    fn mark(&self) -> io::Result<()> {
+        match *self {}
+    }
+}
+
+impl Listener for Nobody {
+    type Stream = Nobody;
+
+    fn accept(&self, _: usize) -> io::Result<Nobody> {
+        match *self {}
+    }
+
+    fn watch(&mut self, _: bool) -> io::Result<()> {
+        match *self {}
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        match *self {}
+    }
+}
+
 /// The node's side of a connection.
 #[derive(Debug)]
 pub struct Pipe {
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -7,6 +7,7 @@
 use super::request::Incoming;
 use gaugestand_core::RequestId;
 use gaugestand_core::facade::Micros;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -44,7 +45,7 @@
 const LOOK: Micros = Micros::millis(50);
 
 /// An open request of a connection.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Open {
     /// Its records come in, since then.
     Incoming(Box<Incoming>, bool, Micros),
@@ -100,16 +101,46 @@
 }
 
 /// Names a connection; a later one in the same place has another name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ConnId {
     place: usize,
     serial: u64,
 }
 
+impl ConnId {
+    /// A connection that is gone.
+    pub const NOWHERE: ConnId = ConnId { place: usize::MAX, serial: 0 };
+}
+
+/// All of a connection but its socket, for another process to go on with.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Carried {
+    /// Its name in the process that had it.
+    pub id: ConnId,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    /// Its open requests.
+    pub open: BTreeMap<u16, Open>,
+    since: Micros,
+    used: Micros,
+    partial: Option<Micros>,
+    asked: bool,
+    faults: u32,
+    served: bool,
+    stray: usize,
+    linger: Option<Micros>,
+    deaf: bool,
+    last: bool,
+}
+
 /// The listener and its connections.
 #[derive(Debug)]
 pub struct Table<S: System> {
     listener: Option<S::Listener>,
+    /// Nothing is accepted or read.
+    stopped: bool,
+    /// Descriptors that another process of this node needs for now.
+    lent: usize,
     /// Poller key of the first place.
     first_key: usize,
     conns: Vec<Option<Conn<S::Stream>>>,
@@ -132,17 +163,12 @@
 }
 
 impl<S: System> Table<S> {
-    /// Listens at the address, within this many descriptors besides those of the store's connections.
-    pub fn listen(
-        system: &S,
-        at: SocketAddr,
-        key: usize,
-        first_key: usize,
-        sockets: usize,
-    ) -> io::Result<Self> {
-        let listener = system.listen(at, key)?;
-        Ok(Table {
-            listener: Some(listener),
+    /// A table that does not listen yet, within this many descriptors besides those of the store's connections.
+    pub fn new(first_key: usize, sockets: usize) -> Self {
+        Table {
+            listener: None,
+            stopped: false,
+            lent: 0,
             first_key,
             conns: Vec::new(),
             free: Vec::new(),
@@ -151,7 +177,76 @@
             idle: None,
             touched: Vec::new(),
             next_look: Micros(0),
-        })
+        }
+    }
+
+    /// Takes connections from this listener from now on.
+    pub fn listen(&mut self, listener: S::Listener) {
+        self.listener = Some(listener);
+        self.listen_for(true);
+    }
+
+    /// The listener, to be passed on.
+    pub fn listener(&self) -> Option<&S::Listener> {
+        self.listener.as_ref()
+    }
+
+    /// Does without so many of its descriptors from now on, or without half of them.
+    pub fn lend(&mut self, descriptors: usize) {
+        self.lent = descriptors.min(self.most / 2);
+    }
+
+    /// Accepts and reads nothing until told to go on.
+    pub fn stop(&mut self, stopped: bool) {
+        self.stopped = stopped;
+        self.listen_for(!stopped);
+        for conn in self.conns.iter_mut().flatten() {
+            // One that cannot be watched any more shows as broken when it is written to.
+            let _ = conn.stream.watch(!stopped && !conn.deaf, !stopped && !conn.output.is_empty());
+        }
+    }
+
+    /// All connections, for another process to go on with.
+    pub fn carry(&self) -> Vec<Carried> {
+        let conns = self.conns.iter().enumerate().filter_map(|(place, c)| c.as_ref().map(|c| (place, c)));
+        conns.map(|(place, c)| c.carry(ConnId { place, serial: c.serial })).collect()
+    }
+
+    /// The socket of a connection, to be passed on.
+    pub fn stream(&self, id: ConnId) -> Option<&S::Stream> {
+        self.conns.get(id.place)?.as_ref().filter(|c| c.serial == id.serial).map(|c| &c.stream)
+    }
+
+    /// Where the next connection is watched.
+    pub fn next_key(&self) -> usize {
+        self.first_key + self.free.last().copied().unwrap_or(self.conns.len())
+    }
+
+    /// Goes on with a connection of another process; it is watched under [`Table::next_key`].
+    pub fn resume(&mut self, stream: S::Stream, c: Carried) -> ConnId {
+        let place = self.free.last().copied().unwrap_or(self.conns.len());
+        self.add(c.since, place, stream);
+        let id = ConnId { place, serial: self.serial };
+        if let Some(conn) = self.get(id) {
+            conn.output.push(c.output);
+            conn.deaf = c.deaf;
+            (conn.input, conn.open, conn.used, conn.partial) = (c.input, c.open, c.used, c.partial);
+            (conn.asked, conn.faults, conn.served, conn.stray) = (c.asked, c.faults, c.served, c.stray);
+            (conn.linger, conn.last) = (c.linger, c.last);
+            // Nothing is taken from it before the table is told to go on.
+            let _ = conn.stream.watch(false, false);
+        }
+        // What is to be closed is found with the first flush.
+        self.touch(id);
+        id
+    }
+
+    /// Lets go of all connections and of the listener.
+    pub fn retire(&mut self) {
+        self.listener = None;
+        self.conns.clear();
+        self.free.clear();
+        self.touched.clear();
     }
 
     /// The address it listens at.
@@ -164,6 +259,23 @@
         self.listener = None;
     }
 
+    /// How long a connection may be idle, once that is set.
+    pub fn idle(&self) -> Option<Micros> {
+        self.idle
+    }
+
+    /// Health checks that wait.
+    pub fn checks(&self) -> Vec<(ConnId, u16)> {
+        let conns = self.conns.iter().enumerate().filter_map(|(place, c)| c.as_ref().map(|c| (place, c)));
+        conns
+            .flat_map(|(place, c)| {
+                let id = ConnId { place, serial: c.serial };
+                let checks = c.open.iter().filter(|(_, open)| matches!(open, Open::Check(_)));
+                checks.map(move |(fcgi, _)| (id, *fcgi))
+            })
+            .collect()
+    }
+
     /// Sets how long a connection may be idle.
     pub fn set_idle(&mut self, idle: Micros) {
         self.idle = Some(idle);
@@ -176,7 +288,9 @@
     /// Accepts what waits; at the end of the budget the longest idle connection makes room.
     pub fn accept(&mut self, now: Micros, counters: &mut Counters) {
         loop {
-            if self.open_count() >= self.most && !self.close_longest_idle(now, counters) {
+            if self.open_count() >= self.most.saturating_sub(self.lent).max(1)
+                && !self.close_longest_idle(now, counters)
+            {
                 // Guards against closing a connection that may carry a request already: it waits unaccepted.
                 counters.accept_pauses += 1;
                 return self.listen_for(false);
@@ -201,6 +315,7 @@
     }
 
     fn listen_for(&mut self, connections: bool) {
+        let connections = connections && !self.stopped;
         if let Some(listener) = &mut self.listener {
             // If it cannot be changed the poller goes on as it was, and the next look tries again.
             let _ = listener.watch(connections);
@@ -378,6 +493,25 @@
 }
 
 impl<T: Stream> Conn<T> {
+    fn carry(&self, id: ConnId) -> Carried {
+        Carried {
+            id,
+            input: self.input.clone(),
+            output: self.output.bytes(),
+            open: self.open.clone(),
+            since: self.since,
+            used: self.used,
+            partial: self.partial,
+            asked: self.asked,
+            faults: self.faults,
+            served: self.served,
+            stray: self.stray,
+            linger: self.linger,
+            deaf: self.deaf,
+            last: self.last,
+        }
+    }
+
     /// Opens a request, or ends it at once where that cannot be done: it never ran.
     pub fn begin(&mut self, now: Micros, id: u16, content: &[u8]) {
         let opened = match fastcgi::begin(content) {
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -208,6 +208,11 @@
         }
     }
 
+    /// The callers that are there have come now: the clock has been set.
+    pub fn restart(&mut self, now: Micros) {
+        self.callers.iter_mut().flatten().for_each(|c| c.since = now);
+    }
+
     /// When to call [`Admin::tick`] again.
     pub fn wake(&self) -> Option<Micros> {
         self.callers.iter().flatten().map(|c| c.since.plus(PATIENCE)).min()
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -85,6 +85,12 @@
         self.len == 0
     }
 
+    /// All bytes that wait.
+    pub fn bytes(&self) -> Vec<u8> {
+        let all: Vec<u8> = self.pieces.iter().flat_map(|p| p.bytes()).copied().collect();
+        all.get(self.written..).unwrap_or_default().to_vec()
+    }
+
     /// Queues bytes as they are.
     pub fn push(&mut self, bytes: impl Into<Vec<u8>>) {
         self.queue(Piece::Own(bytes.into()));
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// So many that were taken are another process's from now on.
+    pub fn handed_over(&mut self, open: usize) {
+        self.taken -= (open as u64).min(self.taken);
+    }
+
     /// How requests of a class have ended.
     pub fn of(&self, class: &str) -> Ends {
         self.replies.get(class).copied().unwrap_or_default()
--- a/crates/node/src/io/mod.rs
+++ b/crates/node/src/io/mod.rs
@@ -5,6 +5,7 @@
 //! the type is chosen where the node is made, and nothing here says what it is.
 
 pub mod clock;
+pub mod kin;
 pub mod link;
 pub mod poll;
 pub mod real;
@@ -43,6 +44,13 @@
     /// What does the blocking work of a store of record.
     type Worker: Worker;
 
+    /// A link to another process of this node.
+    type Kin: Kin<Stream = Self::Stream, Listener = Self::Listener>;
+    /// Where such links come in.
+    type Door: Listener<Stream = Self::Kin>;
+    /// What makes this process the node; given back when dropped.
+    type Claim: Claim;
+
     /// The time on both clocks; the monotonic one starts well above zero.
     fn moment(&self) -> Moment;
     /// Listens.
@@ -61,6 +69,14 @@
         most_rows: usize,
         key: usize,
     ) -> Result<(Self::Worker, Recovery), String>;
+    /// Listens for other processes of this node, in place of a socket that nobody answers at.
+    fn door(&self, at: &Path, key: usize) -> io::Result<Self::Door>;
+    /// Connects to another process of this node.
+    fn kin(&self, at: &Path, key: usize) -> io::Result<Self::Kin>;
+    /// Takes the claim at this path, unless another process holds it; the system lets go of it with the process.
+    fn claim(&self, at: &Path) -> io::Result<Option<Self::Claim>>;
+    /// From now on the monotonic clock is that of another process, as it read both clocks a moment ago.
+    fn align(&self, other: Moment);
     /// Waits until something is ready, for this long at most, and puts it in place of what `ready` held.
     fn wait(&self, most: Micros, ready: &mut Vec<Ready>) -> io::Result<()>;
 }
@@ -105,3 +121,40 @@
     /// Takes note of its having said that there is an outcome.
     fn woken(&mut self);
 }
+
+/// A link to another process of this node: bytes, and sockets that go along with them.
+pub trait Kin: Debug {
+    /// Connections that can be passed.
+    type Stream;
+    /// Listening sockets that can be passed.
+    type Listener;
+    /// Sends bytes, and a socket with the first of them.
+    fn send(&mut self, bytes: &[u8], with: Passed<'_, Self::Stream, Self::Listener>) -> io::Result<usize>;
+    /// Reads bytes; sockets that come along are kept in their order.
+    fn receive(&mut self, buf: &mut [u8]) -> io::Result<usize>;
+    /// The next socket that came, as a connection watched for reading under this key.
+    fn take_stream(&mut self, key: usize) -> io::Result<Self::Stream>;
+    /// The next socket that came, as a listener that is not watched yet.
+    fn take_listener(&mut self, key: usize) -> io::Result<Self::Listener>;
+    /// Changes what the link is watched for.
+    fn watch(&mut self, reading: bool, writing: bool) -> io::Result<()>;
+}
+
+/// A socket that goes along with bytes. It stays open on this side.
+#[derive(Debug)]
+pub enum Passed<'a, T, L> {
+    /// None.
+    Nothing,
+    /// A connection.
+    Stream(&'a T),
+    /// A listening socket.
+    Listener(&'a L),
+}
+
+/// What makes this process the node. Marks on it outlast its holder.
+pub trait Claim: Debug {
+    /// How many marks it has.
+    fn marks(&self) -> io::Result<u64>;
+    /// Makes one more.
+    fn mark(&self) -> io::Result<()>;
+}
--- a/crates/node/src/io/real.rs
+++ b/crates/node/src/io/real.rs
@@ -1,5 +1,6 @@
 //! The machine that the program runs on: its sockets, clocks and signals, by polling, socket2 and rustix.
 
+use super::kin::{self, Door, Lock, UnixKin};
 use super::poll::{Watched, wait};
 use super::{Datagram, Listener, Ready, Stream, System, Worker};
 use gaugestand_core::facade::Micros;
@@ -9,6 +10,7 @@
 use gaugestand_record::worker;
 use polling::Poller;
 use socket2::{Domain, Protocol, Socket, Type};
+use std::cell::Cell;
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::net::UnixStream;
@@ -24,39 +26,60 @@
 pub struct Real {
     poller: Rc<Poller>,
     origin: Instant,
+    /// What the monotonic clock read at `origin`.
+    base: Rc<Cell<Micros>>,
 }
 
 impl Real {
     /// The machine, with nothing watched yet.
     pub fn new() -> io::Result<Self> {
-        Ok(Real { poller: Rc::new(Poller::new()?), origin: Instant::now() })
+        let base = Rc::new(Cell::new(super::clock::START));
+        Ok(Real { poller: Rc::new(Poller::new()?), origin: Instant::now(), base })
     }
 
-    fn stream(&self, stream: TcpStream, key: usize, writing: bool) -> io::Result<Watched<TcpStream>> {
+    /// The poller that watches all of it.
+    pub(super) fn poller(&self) -> &Rc<Poller> {
+        &self.poller
+    }
+
+    pub(super) fn stream(
+        &self,
+        stream: TcpStream,
+        key: usize,
+        writing: bool,
+    ) -> io::Result<Watched<TcpStream>> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         Watched::new(&self.poller, stream, key, true, writing)
     }
 }
 
+impl Real {
+    pub(super) fn incoming(&self, listener: TcpListener, key: usize, reading: bool) -> io::Result<Incoming> {
+        listener.set_nonblocking(true)?;
+        let listener = Watched::new(&self.poller, listener, key, reading, false)?;
+        Ok(Incoming { listener, system: self.clone() })
+    }
+}
+
 impl System for Real {
     type Stream = Watched<TcpStream>;
     type Listener = Incoming;
     type Datagram = Reports;
     type Signals = Pipe;
     type Worker = Thread;
+    type Kin = UnixKin;
+    type Door = Door;
+    type Claim = Lock;
 
     fn moment(&self) -> Moment {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let mono = super::clock::START.plus(Micros(self.origin.elapsed().as_micros() as u64));
+        let mono = self.base.get().plus(Micros(self.origin.elapsed().as_micros() as u64));
         Moment { mono, wall: Micros(unix.as_micros() as u64) }
     }
 
     fn listen(&self, at: SocketAddr, key: usize) -> io::Result<Incoming> {
-        let listener = TcpListener::bind(at)?;
-        listener.set_nonblocking(true)?;
-        let listener = Watched::new(&self.poller, listener, key, true, false)?;
-        Ok(Incoming { listener, system: self.clone() })
+        self.incoming(TcpListener::bind(at)?, key, true)
     }
 
     fn connect(&self, to: SocketAddr, key: usize) -> io::Result<Self::Stream> {
@@ -107,6 +130,25 @@
         Ok((start().map_err(|e: io::Error| format!("store of record: {e}"))?, found))
     }
 
+    fn door(&self, at: &Path, key: usize) -> io::Result<Door> {
+        kin::door(self, at, key)
+    }
+
+    fn kin(&self, at: &Path, key: usize) -> io::Result<UnixKin> {
+        kin::connect(self, at, key)
+    }
+
+    fn claim(&self, at: &Path) -> io::Result<Option<Lock>> {
+        kin::claim(at)
+    }
+
+    fn align(&self, other: Moment) {
+        let here = self.moment();
+        let there = other.mono.plus(here.wall.since(other.wall));
+        // Forward alone: what was read before stays in the past.
+        self.base.set(self.base.get().plus(there.since(here.mono)));
+    }
+
     fn wait(&self, most: Micros, ready: &mut Vec<Ready>) -> io::Result<()> {
         wait(&self.poller, most, ready)
     }
@@ -149,7 +191,7 @@
 /// A listening socket.
 #[derive(Debug)]
 pub struct Incoming {
-    listener: Watched<TcpListener>,
+    pub(super) listener: Watched<TcpListener>,
     system: Real,
 }
 
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -8,7 +8,7 @@
 use base64::engine::general_purpose::STANDARD;
 use gaugestand_core::facade::Micros;
 use gaugestand_core::{Gauges, RequestId};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -152,6 +152,17 @@
     text: String,
 }
 
+/// Where a process stands with its kernel, for another one to go on with its runs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Carried {
+    /// The kernel's address.
+    pub to: SocketAddr,
+    cursor: u64,
+    unread: Vec<(RequestId, String)>,
+    /// The runs that it tells of there.
+    pub runs: Vec<RequestId>,
+}
+
 /// The kernel, as far as this node sees it.
 #[derive(Debug)]
 pub struct Kernel<S: System> {
@@ -180,6 +191,28 @@
         Kernel { link, key, system, links, cursor, unread, ticket, gauges, barrier, booted }
     }
 
+    /// Where this process stands with it, with these runs.
+    pub fn carry(&self, runs: Vec<RequestId>) -> Carried {
+        let unread = self.unread.iter().map(|u| (u.id, u.text.clone())).collect();
+        Carried { to: self.link.address(), cursor: self.cursor, unread, runs }
+    }
+
+    /// The kernel of another process, not linked yet: its notices go on after the last one that was read there, and
+    /// commands that were perhaps not read are said again.
+    pub fn resume(carried: &Carried, key: usize, system: &S) -> Self {
+        let mut kernel = Kernel::new(carried.to, key, system, &[]);
+        kernel.cursor = carried.cursor;
+        let unread = carried.unread.iter().cloned();
+        kernel.unread = unread.map(|(id, text)| Unread { before: 1, id, text }).collect();
+        kernel
+    }
+
+    /// Breaks the link off; the next [`Kernel::tick`] makes a new one.
+    pub fn unlink(&mut self) {
+        self.link = Link::new(self.link.address(), self.key, &self.system);
+        (self.barrier, self.booted) = (None, false);
+    }
+
     /// From now on the kernel is at this address; true if that is another one. The numbers of its notices go
     /// on, and commands that the old link may have swallowed are said again on the new one.
     pub fn move_to(&mut self, to: SocketAddr) -> bool {
@@ -196,6 +229,11 @@
         self.links
     }
 
+    /// Whether it has said on the present link that it is up.
+    pub fn is_booted(&self) -> bool {
+        self.link.is_up() && self.booted
+    }
+
     /// Whether commands are read now.
     pub fn is_linked(&self) -> bool {
         self.link.is_up() && self.booted && self.barrier.is_none()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod figures;
 pub mod io;
 pub mod kernel;
+pub mod kin;
 pub mod log;
 pub mod members;
 pub mod record;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -3,6 +3,7 @@
 use super::fastcgi;
 use gaugestand_core::RequestId;
 use gaugestand_core::facade::Micros;
+use serde::{Deserialize, Serialize};
 
 /// Longest body.
 pub const MOST_BODY: usize = 2048;
@@ -43,7 +44,7 @@
 }
 
 /// The parameters that matter here.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Params {
     method_post: bool,
     path: String,
@@ -88,7 +89,7 @@
 }
 
 /// A request of which not all records have come.
-#[derive(Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Incoming {
     params: Params,
     /// The start of a pair whose rest lies in the next record.
@@ -96,6 +97,8 @@
     params_size: usize,
     params_ended: bool,
     body: Vec<u8>,
+    /// Told at once, so that none is there between two records.
+    #[serde(skip)]
     fault: Option<Fault>,
 }
 
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -234,6 +234,12 @@
         Store { to, first_key, system, lanes, serial: 0, carried, touched: vec![], unplaced: vec![], due }
     }
 
+    /// The tries whose calls are out.
+    pub fn out(&self) -> Vec<RequestId> {
+        let lanes = self.lanes.iter().flatten().flat_map(|lane| lane.calls.keys());
+        lanes.chain(self.unplaced.iter().map(|ended| &ended.id)).copied().collect()
+    }
+
     /// From now on new calls go to this address; those that are out end on the connections that they have.
     pub fn move_to(&mut self, to: Option<SocketAddr>) {
         if self.to != to {
--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -13,14 +13,15 @@
 use super::io::link::Change;
 use super::io::{Ready, System};
 use super::kernel::{Command, Fate, Kernel, Notice};
+use super::kin::Place;
 use super::log::Logs;
 use super::members::Members;
 use super::record::{self, Keeper};
 use super::request::{Asked, Fault, TryParams};
 use super::store::{self, Ended, Store};
-use gaugestand_core::facade::{Arrival, Facade, Micros, Report, RunEnd, Unfit, Verdict};
+use gaugestand_core::facade::{Arrival, CallEnd, Facade, Micros, Report, RunEnd, Unfit, Verdict};
 use gaugestand_core::register::Register as _;
-use gaugestand_core::{Effect, RequestId, SettingsError};
+use gaugestand_core::{Effect, RequestId, SettingsError, succession};
 use gaugestand_record::{Breaker, Ledger};
 use gaugestand_settings::Backend;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
@@ -28,6 +29,9 @@
 use std::io::{self, Read};
 use std::rc::Rc;
 use std::{fmt, mem};
+use succeed::Kindred;
+
+mod succeed;
 
 /// Poller keys; connections follow.
 const LISTENER: usize = 0;
@@ -37,7 +41,12 @@
 const RELOAD: usize = 4;
 const RECORD: usize = 5;
 const ADMIN: usize = 6;
-const FIRST_CALLER: usize = 8;
+const DOOR: usize = 7;
+const UP: usize = 8;
+const DOWN: usize = 9;
+const TURNED_AWAY: usize = 10;
+const INHERITED: usize = 12;
+const FIRST_CALLER: usize = 16;
 const FIRST_LANE: usize = FIRST_CALLER + admin::MOST_CALLERS;
 const FIRST_CONN: usize = FIRST_LANE + store::MOST_LANES;
 
@@ -72,19 +81,6 @@
     move |e| NodeError::Io(what, e)
 }
 
-/// Where a try came from and what its work needs.
-#[derive(Debug)]
-struct Place {
-    conn: ConnId,
-    fcgi: u16,
-    class: usize,
-    body: Vec<u8>,
-    /// The body of the call that its run waits for.
-    call: Vec<u8>,
-    /// It was taken and has not ended; see [`Node::ended`].
-    open: bool,
-}
-
 /// The node.
 #[derive(Debug)]
 pub struct Node<S: System> {
@@ -104,6 +100,8 @@
     admin: Admin<S>,
     figures: Figures,
     tries: BTreeMap<RequestId, Place>,
+    /// Other processes of this node.
+    kin: Kindred<S>,
     checks: Checks,
     leave: S::Signals,
     print: S::Signals,
@@ -134,8 +132,12 @@
             .map_err(io_error("listening at the second address"))?;
         let mut figures = Figures::default();
         figures.list(&config.classes);
-        let table = Table::listen(&system, config.listen, LISTENER, FIRST_CONN, config.sockets - others)
-            .map_err(io_error("listening"))?;
+        let mut table = Table::new(FIRST_CONN, config.sockets - others);
+        let (kin, listener) = Kindred::find(&system, &config)?;
+        match listener {
+            Some(listener) => table.listen(listener),
+            None => table.stop(true),
+        }
         let facade =
             Facade::new(config.settings.clone(), config.seed, ledger).map_err(NodeError::Settings)?;
         Ok(Node {
@@ -149,6 +151,7 @@
             admin,
             figures,
             tries: BTreeMap::new(),
+            kin,
             checks: Checks::default(),
             leave: system.signals(LEAVE, &[SIGTERM, SIGINT]).map_err(io_error("signals"))?,
             print: system.signals(PRINT, &[SIGUSR1]).map_err(io_error("signals"))?,
@@ -164,7 +167,7 @@
 
     /// The address it listens at.
     pub fn address(&self) -> Option<std::net::SocketAddr> {
-        self.table.address()
+        self.table.address().or_else(|| self.kin.address())
     }
 
     /// The address at which it answers operators' calls.
@@ -193,7 +196,7 @@
         for event in ready {
             self.take(*event);
         }
-        let wake = self.pass();
+        let wake = if self.kin.machine.is_node() { self.pass() } else { self.pass_aside() };
         if self.is_over() {
             self.print_counters();
             return None;
@@ -207,7 +210,13 @@
     }
 
     fn is_over(&self) -> bool {
+        if self.kin.over {
+            return true;
+        }
         let Some(stop) = self.stop else { return false };
+        if !self.kin.machine.is_node() {
+            return self.clock.now() >= stop;
+        }
         let now = self.clock.now();
         let done = self.facade.owed() == 0 && !self.table.is_writing();
         now.plus(GONE) >= stop && done || now >= stop
@@ -224,6 +233,10 @@
     /// What is due by now; then everything is written. Returns when to do so again.
     fn pass(&mut self) -> Micros {
         let now = self.clock.now();
+        self.tick_kin();
+        if !self.kin.machine.is_node() {
+            return self.pass_aside();
+        }
         if let Some(change) = self.kernel.tick(now) {
             self.kernel_changed(change);
         }
@@ -270,7 +283,9 @@
         // What breaks makes the facade say more, which goes out with this turn as well; each link and
         // connection breaks only once.
         loop {
-            let kernel = self.kernel.flush(now);
+            // What runs is known to the next process before the kernel hears of it.
+            let may = self.mirror();
+            let kernel = if may { self.kernel.flush(now) } else { None };
             let store = self.store.flush(now);
             let gone = self.table.flush(now, &mut self.counters);
             if kernel.is_none() && store.is_empty() && gone.is_empty() {
@@ -280,6 +295,7 @@
             self.calls_ended(store);
             self.connections_gone(gone);
         }
+        self.flush_kin();
         let now = self.clock.moment();
         self.record.flush(now, self.facade.register());
     }
@@ -287,11 +303,17 @@
     fn take(&mut self, event: Ready) {
         let now = self.clock.now();
         match event.key {
-            LISTENER => self.table.accept(now, &mut self.counters),
-            KERNEL => self.take_kernel(event.readable, event.writable),
+            // What is accepted after all was handed over would be lost.
+            LISTENER if self.kin.machine.is_node() => self.table.accept(now, &mut self.counters),
+            LISTENER => {}
+            KERNEL => self.take_kernel(event),
+            DOOR => self.take_door(),
+            UP => self.take_up(event),
+            DOWN => self.take_down(event),
+            key if (INHERITED..FIRST_CALLER).contains(&key) => self.take_inherited(event),
             LEAVE => {
                 self.drain_signal(LEAVE);
-                self.begin_drain();
+                self.happen(succession::Event::Leave);
             }
             PRINT => {
                 self.drain_signal(PRINT);
@@ -317,7 +339,8 @@
                 self.calls_ended(ended);
             }
             key => {
-                if let Some(conn) = self.table.at_key(key) {
+                let conn = self.table.at_key(key).filter(|_| self.kin.machine.is_node());
+                if let Some(conn) = conn {
                     self.take_conn(conn, event.readable);
                 }
             }
@@ -407,8 +430,13 @@
 
     /// Whether requests that come now are taken by this process, or why not.
     fn takes_clients(&mut self) -> Result<(), &'static str> {
+        if self.kin.is_ready() {
+            return Ok(());
+        }
         let up = self.facade.is_up();
         let steps = [
+            (!self.kin.machine.is_retired(), "another process has taken over"),
+            (!self.kin.machine.is_heir(), "another process is the node, and its keys are not in place"),
             (self.stop.is_none(), "it leaves service"),
             (self.table.address().is_some(), "it does not listen"),
             (up, "its kernel is not up"),
@@ -565,7 +593,8 @@
         if let Some(c) = self.table.get(conn) {
             c.open.insert(fcgi, Open::Owed(t.id, keeps));
         }
-        self.tries.insert(t.id, Place { conn, fcgi, class: t.class, body, call: Vec::new(), open: true });
+        let place = Place { id: t.id, conn, fcgi, class: t.class, body, call: Vec::new(), open: true };
+        self.tries.insert(t.id, place);
         self.carry_out(verdicts);
     }
 
@@ -662,14 +691,52 @@
 
     // ---- The kernel and the store --------------------------------------------------------------------
 
-    fn take_kernel(&mut self, readable: bool, writable: bool) {
+    fn take_kernel(&mut self, event: Ready) {
         let now = self.clock.now();
-        if let Some(change) = self.kernel.ready(now, readable, writable, &mut self.counters) {
+        if let Some(change) = self.kernel.ready(now, event.readable, event.writable, &mut self.counters) {
             self.kernel_changed(change);
         }
         while let Some(notice) = self.kernel.next(&mut self.counters) {
             match notice {
-                Notice::Booted { cold, age } => self.report(Report::Booted { cold, age }),
+                Notice::Booted { cold, age } => {
+                    if !self.kin.note_booted(cold, age) {
+                        self.report(Report::Booted { cold, age });
+                    }
+                }
+                Notice::Info(_, figures) => {
+                    let gauges = self.kernel.gauges(&figures);
+                    self.report(Report::Gauged(gauges));
+                }
+                Notice::Posted(ticket, good) => {
+                    if let Some((conn, fcgi)) = self.checks.posted(ticket) {
+                        self.end_check(conn, fcgi, good);
+                    }
+                }
+                notice => self.take_notice(notice),
+            }
+        }
+    }
+
+    /// A kernel of a process before this one says something.
+    fn take_inherited(&mut self, event: Ready) {
+        let now = self.clock.now();
+        let Some(at) = self.kin.inherited.iter().position(|one| one.key == event.key) else { return };
+        let Some(one) = self.kin.inherited.get_mut(at) else { return };
+        one.kernel.ready(now, event.readable, event.writable, &mut self.counters);
+        while let Some(one) = self.kin.inherited.get_mut(at) {
+            let Some(notice) = one.kernel.next(&mut self.counters) else { return };
+            if let Notice::Reap(id, _) | Notice::Invalid(Command::Sched, Some(id)) = &notice {
+                one.runs.remove(id);
+            }
+            self.take_notice(notice);
+        }
+    }
+
+    /// What a kernel says of a run.
+    fn take_notice(&mut self, notice: Notice) {
+        let now = self.clock.now();
+        {
+            match notice {
                 Notice::Reap(id, fate) => {
                     let end = match fate {
                         Fate::Good(result) => RunEnd::Good(result),
@@ -685,15 +752,6 @@
                         self.report(Report::WantsCall(id));
                     }
                 }
-                Notice::Info(_, figures) => {
-                    let gauges = self.kernel.gauges(&figures);
-                    self.report(Report::Gauged(gauges));
-                }
-                Notice::Posted(ticket, good) => {
-                    if let Some((conn, fcgi)) = self.checks.posted(ticket) {
-                        self.end_check(conn, fcgi, good);
-                    }
-                }
                 Notice::Invalid(Command::Sched, Some(id)) => {
                     // Nobody but a client that makes ids up asks for what the kernel does not know.
                     if let Some(conn) = self.tries.get(&id).map(|place| place.conn) {
@@ -701,11 +759,17 @@
                     }
                     self.report(Report::Ended(id, RunEnd::NeverRan));
                 }
-                Notice::Invalid(..) | Notice::Dmesg => {}
+                _ => {}
             }
         }
     }
 
+    /// The kernel that has the run of a try, or is to have it.
+    fn kernel_of(&mut self, id: RequestId) -> &mut Kernel<S> {
+        let inherited = self.kin.inherited.iter_mut().find(|one| one.runs.contains(&id));
+        inherited.map_or(&mut self.kernel, |one| &mut one.kernel)
+    }
+
     fn kernel_changed(&mut self, change: Change) {
         if change == Change::Broken {
             self.report(Report::Link(false));
@@ -713,9 +777,12 @@
     }
 
     fn calls_ended(&mut self, calls: Vec<Ended>) {
+        if !self.kin.machine.is_node() {
+            return self.pass_on(calls);
+        }
         for call in calls {
             if let Some(reply) = &call.reply {
-                self.kernel.io_done(call.id, reply);
+                self.kernel_of(call.id).io_done(call.id, reply);
             }
             self.report(Report::Called(call.id, call.end, call.lag));
         }
@@ -742,7 +809,7 @@
                     }
                 }
                 Verdict::Stop(id) => {
-                    self.kernel.preempt(id);
+                    self.kernel_of(id).preempt(id);
                     self.counters.stops_sent += 1;
                 }
                 Verdict::Call(id, wait) => {
@@ -751,7 +818,7 @@
                         self.store.call(self.clock.now(), id, wait, body, &mut self.counters);
                     }
                 }
-                Verdict::DropCall(id) => self.store.drop_call(id, &mut self.counters),
+                Verdict::DropCall(id) => self.drop_call(id),
                 Verdict::Refuse { id, stay_away, give_up } => {
                     self.ended(id, End::Overload);
                     let status = "503 Service Unavailable";
--- /dev/null
+++ b/crates/node/src/turn/succeed.rs
@@ -0,0 +1,706 @@
+//! Carries out what `gaugestand_core::succession` decides: the link to the process before this one and to the one
+//! after it, the claim, and what passes between them.
+
+use super::*;
+use crate::io::{Claim as _, Listener, Passed};
+use crate::kin::{self, Broken, Frame, Rest, Wire, With};
+use gaugestand_core::succession::{Event, Role, Step, Succession};
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+/// Descriptors that a second process needs besides its connections to the store and its callers.
+const SECOND: usize = 20;
+/// How long commands wait for a heir that does not read what it is told before them; then it is let go of.
+const HELD_UP: Micros = Micros::millis(200);
+/// Time between two looks for another process.
+const LOOK: Micros = Micros::millis(20);
+/// How long a process looks for the one that holds the claim, or for the address to be free, before it gives up.
+const PATIENCE: Micros = Micros::millis(3_000);
+/// Most kernels of processes before this one that are still listened to.
+const MOST_KERNELS: usize = 4;
+/// How long past its tries' longest deadline a kernel of a process before this one is listened to.
+const OVERTIME: Micros = Micros::millis(2_000);
+
+/// The kernel of a process before this one, as long as it runs something.
+#[derive(Debug)]
+pub(super) struct Inherited<S: System> {
+    pub(super) kernel: Kernel<S>,
+    pub(super) runs: BTreeSet<RequestId>,
+    pub(super) key: usize,
+    until: Micros,
+}
+
+/// What this process has to do with others of its node.
+#[derive(Debug)]
+pub(super) struct Kindred<S: System> {
+    pub(super) machine: Succession,
+    /// The socket and the file of the claim; none where the node serves alone.
+    paths: Option<(PathBuf, PathBuf)>,
+    door: Option<S::Door>,
+    claim: Option<S::Claim>,
+    /// Marks on the claim when the elder let go of it.
+    marks: u64,
+    /// To the process before this one, and to the one after it.
+    up: Option<Wire<S>>,
+    down: Option<Wire<S>>,
+    /// The elder's listening socket.
+    spare: Option<S::Listener>,
+    /// What the elder has sent at its end, and its connections' names there and here.
+    conns: Vec<(ConnId, ConnId)>,
+    places: Vec<kin::Place>,
+    rest: Option<Box<Rest>>,
+    /// Ends of calls that nobody may be told of yet.
+    ends: Vec<Ended>,
+    /// The heir was told that it knows all keys.
+    synced: bool,
+    /// Since when the heir does not read.
+    held_up: Option<Micros>,
+    pub(super) inherited: Vec<Inherited<S>>,
+    /// Tries whose calls are out at a process before this one.
+    pub(super) remote: BTreeSet<RequestId>,
+    /// What this process's own kernel said of its start, before this process was the node.
+    booted: Option<(bool, Micros)>,
+    next_look: Micros,
+    pub(super) over: bool,
+}
+
+/// Where processes of this node find each other, or why they cannot.
+fn paths(config: &Config) -> Result<(PathBuf, PathBuf), &'static str> {
+    if config.operators.record.is_some() {
+        return Err("a store of record has one writer");
+    }
+    let folder = std::env::var_os("TMPDIR").filter(|d| !d.is_empty()).ok_or("TMPDIR is not set")?;
+    let name: String = config.name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
+    let at = config.listen.to_string().replace(|c: char| !c.is_ascii_alphanumeric(), "_");
+    let base = Path::new(&folder).join(format!("gaugestand-{name}-{at}"));
+    Ok((base.with_extension("sock"), base.with_extension("lock")))
+}
+
+impl<S: System> Kindred<S> {
+    fn new(machine: Succession, paths: Option<(PathBuf, PathBuf)>) -> Self {
+        Kindred {
+            machine,
+            paths,
+            door: None,
+            claim: None,
+            marks: 0,
+            up: None,
+            down: None,
+            spare: None,
+            conns: Vec::new(),
+            places: Vec::new(),
+            rest: None,
+            ends: Vec::new(),
+            synced: false,
+            held_up: None,
+            inherited: Vec::new(),
+            remote: BTreeSet::new(),
+            booted: None,
+            next_look: Micros(0),
+            over: false,
+        }
+    }
+
+    /// Looks for another process of this node: with a link to it, or with the claim and a listener.
+    pub(super) fn find(system: &S, config: &Config) -> Result<(Self, Option<S::Listener>), NodeError> {
+        let listen = || system.listen(config.listen, LISTENER);
+        let alone = |why: &str| {
+            tracing::info!(why, "no other process can take over from this one");
+            let listener = listen().map_err(io_error("listening"))?;
+            Ok((Kindred::new(Succession::alone(), None), Some(listener)))
+        };
+        let (socket, lock) = match paths(config) {
+            Ok(paths) => paths,
+            Err(why) => return alone(why),
+        };
+        let began = system.moment().mono;
+        let mut claim = None;
+        loop {
+            // Who answers there is the node; otherwise whoever has the claim is, or is about to be.
+            if claim.is_none() {
+                if let Ok(kin) = system.kin(&socket, UP) {
+                    let mut found = Kindred::new(Succession::heir(), Some((socket, lock)));
+                    found.up = Some(Wire::new(kin));
+                    tracing::info!("another process of this node serves; waiting to take over from it");
+                    return Ok((found, None));
+                }
+                match system.claim(&lock) {
+                    Ok(found) => claim = found,
+                    Err(e) => return alone(&format!("{}: {e}", lock.display())),
+                }
+            }
+            let late = system.moment().mono.since(began) >= PATIENCE;
+            if claim.is_some() {
+                // The address may be held for a moment by a process that has just lost the claim.
+                match listen() {
+                    Ok(listener) => {
+                        let mut found = Kindred::new(Succession::alone(), Some((socket, lock)));
+                        found.claim = claim;
+                        found.open_door(system);
+                        return Ok((found, Some(listener)));
+                    }
+                    Err(e) if late || e.kind() != io::ErrorKind::AddrInUse => {
+                        return Err(NodeError::Io("listening", e));
+                    }
+                    Err(_) => {}
+                }
+            } else if late {
+                let why = io::Error::other("another process has the claim and does not answer");
+                return Err(NodeError::Io("starting beside it", why));
+            }
+            std::thread::sleep(std::time::Duration::from_micros(LOOK.0));
+        }
+    }
+
+    fn open_door(&mut self, system: &S) {
+        let Some((socket, _)) = &self.paths else { return };
+        match system.door(socket, DOOR) {
+            Ok(door) => self.door = Some(door),
+            Err(e) => {
+                let why = format!("{}: {e}", socket.display());
+                tracing::info!(why, "no other process can take over from this one");
+            }
+        }
+    }
+
+    /// Whether all that this process needs from the elder before it goes is here.
+    pub(super) fn is_ready(&self) -> bool {
+        self.machine.role() == Role::Heir { synced: true } && self.spare.is_some() && self.booted.is_some()
+    }
+
+    /// The address that the elder listens at.
+    pub(super) fn address(&self) -> Option<std::net::SocketAddr> {
+        self.spare.as_ref().and_then(|l| l.address())
+    }
+
+    /// Takes note of what this process's own kernel says of its start; false if this process is the node.
+    pub(super) fn note_booted(&mut self, cold: bool, age: Micros) -> bool {
+        self.booted = Some((cold, age));
+        !self.machine.is_node()
+    }
+
+    /// When to look again although nothing comes.
+    pub(super) fn wake(&self) -> Option<Micros> {
+        let seeks = matches!(self.machine.role(), Role::Heir { .. }) && self.up.is_none();
+        let look = Some(self.next_look).filter(|_| seeks);
+        let held_up = self.held_up.map(|t| t.plus(HELD_UP));
+        let until = self.inherited.iter().map(|i| i.until).min();
+        let links = self.inherited.iter().filter_map(|i| i.kernel.wake()).min();
+        [look, held_up, until, links, self.machine.wake()].into_iter().flatten().min()
+    }
+}
+
+impl<S: System> Node<S> {
+    /// Something happened between the processes of this node.
+    pub(super) fn happen(&mut self, event: Event) {
+        let now = self.clock.now();
+        for step in self.kin.machine.step(now, event) {
+            tracing::debug!(?event, ?step, "succession");
+            match step {
+                Step::Mirror => self.begin_mirror(),
+                Step::StopMirror => {
+                    self.kin.down = None;
+                    (self.kin.synced, self.kin.held_up) = (false, None);
+                    self.facade.register().mirror(false);
+                    self.table.lend(0);
+                }
+                // The link that has just come is dropped by whoever took it in.
+                Step::TurnAway => {}
+                Step::Part => self.part(),
+                Step::Claim => {
+                    let lock = self.kin.paths.as_ref().map(|(_, lock)| self.system.claim(lock));
+                    self.kin.claim = lock.and_then(Result::ok).flatten();
+                    let marks = self.kin.claim.as_ref().map(|claim| claim.marks().unwrap_or(u64::MAX));
+                    let stale = self.kin.machine.role() == Role::Taking && marks > Some(self.kin.marks);
+                    self.happen(if stale { Event::Stale } else { Event::Claimed(marks.is_some()) });
+                }
+                Step::Listen => {
+                    let marked = self.kin.claim.as_ref().map(|claim| claim.mark());
+                    if let Some(Err(e)) = marked {
+                        tracing::warn!(problem = %e, "marking the claim");
+                    }
+                    if let Some(wire) = &mut self.kin.down {
+                        // Until there is no more: as it holds no claim, it cannot have said it later.
+                        while wire.read().is_ok_and(|n| n > 0) {}
+                    }
+                    let (frames, _) = self.frames(|kin| kin.down.as_mut());
+                    if frames.iter().any(|frame| matches!(frame, Frame::Taken)) {
+                        self.happen(Event::Taken);
+                    }
+                    self.happen(Event::Listened);
+                }
+                Step::GoOn => {
+                    tracing::warn!("the new process did not take over");
+                    self.table.stop(false);
+                    let ends = mem::take(&mut self.kin.ends);
+                    self.calls_ended(ends);
+                }
+                Step::Drain => self.begin_drain(),
+                Step::Retire => self.retire(),
+                Step::TakeOver => self.take_over(),
+                Step::Serve { all } => self.serve(all),
+                Step::Seek => self.seek_anew(),
+                Step::End => self.kin.over = true,
+            }
+        }
+    }
+
+    // ---- The process that is the node ----------------------------------------------------------------
+
+    /// Other processes link.
+    pub(super) fn take_door(&mut self) {
+        loop {
+            let Some(door) = &self.kin.door else { return };
+            let free = self.kin.down.is_none();
+            let Ok(kin) = door.accept(if free { DOWN } else { TURNED_AWAY }) else { return };
+            if free && self.kin.machine.role() == Role::Alone && self.stop.is_none() {
+                self.kin.down = Some(Wire::new(kin));
+                self.happen(Event::Linked);
+            }
+        }
+    }
+
+    fn begin_mirror(&mut self) {
+        tracing::info!("a new process of this node has come");
+        let moment = self.clock.moment();
+        let register = self.facade.register();
+        register.mirror(true);
+        let secret = register.secret();
+        if let Some(wire) = &mut self.kin.down {
+            wire.say(&Frame::Hello { moment, secret }, With::Listener);
+        }
+        // Both processes' descriptors count.
+        self.table.lend(SECOND + admin::SOCKETS + store::lanes_within(self.config.sockets));
+    }
+
+    /// Tells the heir of keys; false if commands have to wait until it has read of them.
+    pub(super) fn mirror(&mut self) -> bool {
+        let now = self.clock.now();
+        let Some(wire) = &mut self.kin.down else { return true };
+        if self.kin.machine.role() == Role::Elder {
+            while wire.has_room() {
+                let copies = self.facade.register().copies(kin::KEYS);
+                if copies.is_empty() {
+                    break;
+                }
+                wire.say(&Frame::Keys(copies), With::Nothing);
+            }
+        }
+        self.write_down();
+        let Some(wire) = &mut self.kin.down else { return true };
+        let all = wire.is_written() && !self.facade.register().is_behind();
+        if self.kin.machine.role() == Role::Elder && !self.kin.synced && all {
+            // From here on what is said has to be written before the kernel hears of it.
+            self.kin.synced = true;
+            wire.say(&Frame::Synced, With::Nothing);
+            self.write_down();
+        }
+        let unwritten = self.kin.down.as_ref().is_some_and(|wire| !wire.is_written());
+        let behind = unwritten || self.facade.register().is_behind();
+        if !behind || !self.kin.synced || self.kin.machine.role() != Role::Elder {
+            self.kin.held_up = None;
+            return true;
+        }
+        // What runs must be known there first, or its death and this one's would let it run twice.
+        let since = *self.kin.held_up.get_or_insert(now);
+        if now.since(since) < HELD_UP {
+            return false;
+        }
+        tracing::warn!("the new process does not read; it has to come again");
+        self.kin.down = None;
+        self.happen(Event::Unlinked);
+        true
+    }
+
+    fn write_down(&mut self) {
+        let Some(wire) = &mut self.kin.down else { return };
+        let table = &self.table;
+        let socket = |with| match with {
+            With::Nothing => Some(Passed::Nothing),
+            With::Listener => table.listener().map(Passed::Listener),
+            With::Conn(id) => table.stream(id).map(Passed::Stream),
+        };
+        if let Err(broken) = wire.write(socket) {
+            self.down_broke(&broken);
+        }
+    }
+
+    fn down_broke(&mut self, broken: &Broken) {
+        if let Broken::Framing(why) = broken {
+            tracing::warn!(why, "the link to the new process");
+        }
+        self.kin.down = None;
+        self.happen(Event::Unlinked);
+    }
+
+    /// The heir says something.
+    pub(super) fn take_down(&mut self, event: Ready) {
+        let Some(wire) = &mut self.kin.down else { return };
+        let read = if event.readable { wire.read().map(|_| ()) } else { Ok(()) };
+        let frames = self.frames(|kin| kin.down.as_mut());
+        for frame in frames.0 {
+            match frame {
+                Frame::Taken => self.happen(Event::Taken),
+                Frame::DropCall(id) => self.drop_call(id),
+                _ => {}
+            }
+        }
+        if let Err(broken) = read.and(frames.1) {
+            self.down_broke(&broken);
+        }
+    }
+
+    /// The whole frames that a link has.
+    fn frames(
+        &mut self,
+        of: impl Fn(&mut Kindred<S>) -> Option<&mut Wire<S>>,
+    ) -> (Vec<Frame>, Result<(), Broken>) {
+        let mut frames = Vec::new();
+        while let Some(wire) = of(&mut self.kin) {
+            match wire.next_frame() {
+                Ok(Some(frame)) => frames.push(frame),
+                Ok(None) => break,
+                Err(broken) => return (frames, Err(broken)),
+            }
+        }
+        (frames, Ok(()))
+    }
+
+    /// Stops all work, sends everything and lets go of the claim.
+    fn part(&mut self) {
+        let now = self.clock.now();
+        tracing::info!(open = self.open_tries(), "handing over to the new process");
+        self.stop = Some(now.plus(self.config.stop));
+        self.table.stop(true);
+        let running = self.facade.running();
+        let inherited: BTreeSet<RequestId> =
+            self.kin.inherited.iter().flat_map(|i| i.runs.iter().copied()).collect();
+        let own = running.into_iter().filter(|id| !inherited.contains(id)).collect();
+        let mut kernels = vec![self.kernel.carry(own)];
+        kernels.extend(self.kin.inherited.iter().map(|i| i.kernel.carry(i.runs.iter().copied().collect())));
+        self.kernel.unlink();
+        self.kin.inherited.iter_mut().for_each(|i| i.kernel.unlink());
+        let calls = self.store.out().into_iter().chain(self.kin.remote.iter().copied()).collect();
+        let rest = Rest {
+            facade: self.facade.carry(),
+            kernels,
+            calls,
+            classes: self.config.classes.clone(),
+            idle: self.table.idle(),
+        };
+        let Some(wire) = &mut self.kin.down else { return };
+        loop {
+            let copies = self.facade.register().copies(kin::KEYS);
+            if copies.is_empty() {
+                break;
+            }
+            wire.say(&Frame::Keys(copies), With::Nothing);
+        }
+        for conn in self.table.carry() {
+            let id = conn.id;
+            wire.say(&Frame::Conn(Box::new(conn)), With::Conn(id));
+        }
+        for place in self.tries.values() {
+            wire.say(&Frame::Try(Box::new(place.clone())), With::Nothing);
+        }
+        wire.say(&Frame::Rest(Box::new(rest)), With::Nothing);
+        let marks = self.kin.claim.as_ref().and_then(|claim| claim.marks().ok()).unwrap_or_default();
+        wire.say(&Frame::Over(marks), With::Nothing);
+        self.kin.claim = None;
+        self.write_down();
+    }
+
+    /// Another process is the node: only calls that are out are left here.
+    fn retire(&mut self) {
+        tracing::info!("another process has taken over");
+        self.figures.handed_over(self.open_tries());
+        self.tries.clear();
+        self.facade.retire();
+        self.facade.register().mirror(false);
+        self.table.retire();
+        self.kin.inherited.clear();
+        self.kin.door = None;
+        self.kin.claim = None;
+        let ends = mem::take(&mut self.kin.ends);
+        self.pass_on(ends);
+        if self.kin.down.is_none() {
+            self.kin.over = true;
+        }
+    }
+
+    /// Calls have ended at a process that is the node no more, or not for now.
+    pub(super) fn pass_on(&mut self, ends: Vec<Ended>) {
+        if self.kin.machine.role() != Role::Retired {
+            return self.kin.ends.extend(ends);
+        }
+        for Ended { id, end, reply, lag } in ends {
+            if let Some(wire) = &mut self.kin.down {
+                wire.say(&Frame::Called(id, end, reply, lag), With::Nothing);
+            }
+        }
+    }
+
+    pub(super) fn drop_call(&mut self, id: RequestId) {
+        if !self.kin.remote.remove(&id) {
+            return self.store.drop_call(id, &mut self.counters);
+        }
+        if let Some(wire) = &mut self.kin.up {
+            wire.say(&Frame::DropCall(id), With::Nothing);
+        }
+    }
+
+    // ---- The process that waits, and the one that took over -------------------------------------------
+
+    /// The elder says something.
+    pub(super) fn take_up(&mut self, event: Ready) {
+        let Some(wire) = &mut self.kin.up else { return };
+        let read = if event.readable { wire.read().map(|_| ()) } else { Ok(()) };
+        let (frames, framed) = self.frames(|kin| kin.up.as_mut());
+        let mut heard = Ok(());
+        for frame in frames {
+            heard = heard.and_then(|()| self.hear(frame));
+        }
+        if let Err(broken) = heard.and(framed).and(read) {
+            self.up_broke(&broken);
+        }
+    }
+
+    fn up_broke(&mut self, broken: &Broken) {
+        if let Broken::Framing(why) = broken {
+            tracing::warn!(why, "the link to the process before this one");
+        }
+        self.kin.up = None;
+        for id in mem::take(&mut self.kin.remote) {
+            // A broken link proves nothing.
+            self.report(Report::Called(id, CallEnd::Broken, Micros(0)));
+        }
+        if !self.kin.machine.is_heir() {
+            return;
+        }
+        if self.kin.spare.is_some() {
+            self.happen(Event::Unlinked);
+        } else {
+            // It was turned away: another process takes over at this moment.
+            self.kin.next_look = self.clock.now().plus(LOOK);
+        }
+    }
+
+    fn hear(&mut self, frame: Frame) -> Result<(), Broken> {
+        let waits = matches!(self.kin.machine.role(), Role::Heir { .. });
+        let Some(wire) = &mut self.kin.up else { return Ok(()) };
+        match frame {
+            Frame::Hello { moment, secret } if waits => {
+                self.kin.spare = Some(wire.take_listener(LISTENER)?);
+                self.system.align(moment);
+                self.clock.read(&self.system);
+                // The clock has moved on by the elder's age: nobody has waited for that long.
+                self.admin.restart(self.clock.now());
+                self.facade.register().begin_copy(secret);
+            }
+            Frame::Keys(copies) if waits => {
+                copies.into_iter().for_each(|copy| self.facade.register().adopt(copy));
+            }
+            Frame::Synced if waits => self.happen(Event::Synced),
+            Frame::Conn(conn) if waits => {
+                let stream = wire.take_stream(self.table.next_key())?;
+                let there = conn.id;
+                let here = self.table.resume(stream, *conn);
+                self.kin.conns.push((there, here));
+            }
+            Frame::Try(place) if waits => self.kin.places.push(*place),
+            Frame::Rest(rest) if waits => self.kin.rest = Some(rest),
+            Frame::Over(marks) if waits && self.kin.rest.is_some() => {
+                self.kin.marks = marks;
+                self.happen(Event::Over);
+            }
+            Frame::Called(id, end, reply, lag) => {
+                let ended = Ended { id, end, reply, lag };
+                if self.kin.remote.remove(&id) || !self.kin.machine.is_node() {
+                    self.calls_ended(vec![ended]);
+                }
+            }
+            _ => return Err(Broken::Framing("a frame out of order")),
+        }
+        Ok(())
+    }
+
+    /// Goes on in the place of the elder.
+    fn take_over(&mut self) {
+        let now = self.clock.now();
+        if let Some(wire) = &mut self.kin.up {
+            // Before anything is done: an elder that does not read this goes on itself if this process dies.
+            wire.say(&Frame::Taken, With::Nothing);
+        }
+        self.write_up();
+        let Some(rest) = self.kin.rest.take() else { return };
+        let here = mem::take(&mut self.kin.conns);
+        let here =
+            |there: ConnId| here.iter().find(|(t, _)| *t == there).map_or(ConnId::NOWHERE, |(_, h)| *h);
+        for mut place in mem::take(&mut self.kin.places) {
+            place.conn = here(place.conn);
+            if place.open {
+                self.figures.taken();
+            }
+            self.tries.insert(place.id, place);
+        }
+        self.facade.resume(rest.facade);
+        self.facade.set_linked(self.kernel.is_booted());
+        let until = now.plus(self.facade.longest_deadline()).plus(OVERTIME);
+        let kernels = rest.kernels.iter().filter(|k| !k.runs.is_empty()).take(MOST_KERNELS);
+        self.kin.inherited = kernels
+            .zip(INHERITED..)
+            .map(|(carried, key)| Inherited {
+                kernel: Kernel::resume(carried, key, &self.system),
+                runs: carried.runs.iter().copied().collect(),
+                key,
+                until,
+            })
+            .collect();
+        self.kin.remote = rest.calls.into_iter().collect();
+        if let Some(idle) = rest.idle {
+            self.table.set_idle(idle);
+        }
+        for (conn, fcgi) in self.table.checks() {
+            self.checks.add(now, conn, fcgi);
+        }
+        self.go_into_service();
+        tracing::info!(open = self.open_tries(), "took over");
+        self.adopt_settings(&rest.classes);
+        self.let_go();
+    }
+
+    /// The classes are those of the process before this one.
+    fn adopt_settings(&mut self, classes: &[String]) {
+        self.config.classes = classes.to_vec();
+        self.config.keyed = self.facade.keyed();
+        self.figures.list(classes);
+    }
+
+    fn go_into_service(&mut self) {
+        self.kin.open_door(&self.system);
+        let spare = self.kin.spare.take();
+        match spare.map_or_else(|| self.system.listen(self.config.listen, LISTENER), Ok) {
+            Ok(listener) => self.table.listen(listener),
+            Err(e) => {
+                tracing::error!(problem = %e, "listening");
+                self.kin.over = true;
+            }
+        }
+        self.table.stop(false);
+    }
+
+    /// The elder is gone without a word.
+    fn serve(&mut self, all: bool) {
+        tracing::warn!(all, "the process before this one is gone; serving with the keys that it told of");
+        let (now, window) = (self.clock.moment(), longest_window(&self.config));
+        self.facade.register().orphaned(now, all, window);
+        (self.kin.conns, self.kin.places, self.kin.rest) = (Vec::new(), Vec::new(), None);
+        self.table.retire();
+        self.go_into_service();
+        if let Some((cold, age)) = self.kin.booted {
+            self.report(Report::Booted { cold, age });
+        }
+    }
+
+    /// Forgets all that came from the elder, and looks for it anew.
+    fn seek_anew(&mut self) {
+        self.kin.up = None;
+        self.kin.spare = None;
+        (self.kin.conns, self.kin.places, self.kin.rest) = (Vec::new(), Vec::new(), None);
+        self.table.retire();
+        let register = self.facade.register();
+        let secret = register.secret();
+        register.begin_copy(secret);
+        self.kin.next_look = self.clock.now();
+    }
+
+    fn seek(&mut self) {
+        let now = self.clock.now();
+        let seeks = matches!(self.kin.machine.role(), Role::Heir { .. }) && self.kin.up.is_none();
+        let Some((socket, _)) = self.kin.paths.as_ref().filter(|_| seeks && now >= self.kin.next_look) else {
+            return;
+        };
+        self.kin.next_look = now.plus(LOOK);
+        match self.system.kin(socket, UP) {
+            Ok(kin) => self.kin.up = Some(Wire::new(kin)),
+            // Nobody answers: it may have ended since, with keys that were never told.
+            Err(_) => self.happen(Event::Unlinked),
+        }
+    }
+
+    fn write_up(&mut self) {
+        let Some(wire) = &mut self.kin.up else { return };
+        if let Err(broken) = wire.write(|_| Some(Passed::Nothing)) {
+            self.up_broke(&broken);
+        }
+    }
+
+    /// Lets go of the process before this one, once nothing is to come from it.
+    fn let_go(&mut self) {
+        if self.kin.machine.is_node() && self.kin.inherited.is_empty() && self.kin.remote.is_empty() {
+            let written = self.kin.up.as_ref().is_none_or(Wire::is_written);
+            if written {
+                self.kin.up = None;
+            }
+        }
+    }
+
+    /// What is due between processes.
+    pub(super) fn tick_kin(&mut self) {
+        let now = self.clock.now();
+        if self.kin.paths.is_none() {
+            return;
+        }
+        self.happen(Event::Tick);
+        self.seek();
+        for i in (0..self.kin.inherited.len()).rev() {
+            if let Some(one) = self.kin.inherited.get_mut(i)
+                && now >= one.until
+            {
+                // Nothing was heard of them for longer than any of them may take.
+                let runs = mem::take(&mut one.runs);
+                runs.into_iter().for_each(|id| self.report(Report::Ended(id, RunEnd::Bad)));
+                self.kin.inherited.remove(i);
+            }
+        }
+        if self.kin.machine.is_node() {
+            for one in &mut self.kin.inherited {
+                one.kernel.tick(now);
+            }
+            self.let_go();
+        }
+    }
+
+    /// Ends a turn: writes what is left for other processes.
+    pub(super) fn flush_kin(&mut self) {
+        let now = self.clock.now();
+        for one in &mut self.kin.inherited {
+            // Their links may break; what is lost is said again on the next one.
+            one.kernel.flush(now);
+        }
+        self.kin.inherited.retain(|one| !one.runs.is_empty());
+        self.write_up();
+        self.write_down();
+        self.let_go();
+    }
+
+    /// A turn of a process that is not the node.
+    pub(super) fn pass_aside(&mut self) -> Micros {
+        let now = self.clock.now();
+        let mut kernel = None;
+        if self.kin.machine.is_heir() {
+            self.kernel.tick(now);
+            self.kernel.flush(now);
+            kernel = self.kernel.wake();
+        }
+        self.admin.tick(now);
+        let mut ended = self.store.tick(now, &mut self.counters);
+        ended.extend(self.store.flush(now));
+        self.calls_ended(ended);
+        self.tick_kin();
+        self.flush_kin();
+        let stop = self.stop;
+        let wake = [kernel, self.store.wake(), self.admin.wake(), self.kin.wake(), stop];
+        wake.into_iter().flatten().min().unwrap_or(now.plus(LONGEST_WAIT)).max(now.plus(Micros(200)))
+    }
+}
--- a/crates/record/src/ledger.rs
+++ b/crates/record/src/ledger.rs
@@ -17,7 +17,8 @@
 use gaugestand_core::RequestId;
 use gaugestand_core::facade::Micros;
 use gaugestand_core::register::*;
-use std::collections::{HashMap, VecDeque};
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{BuildHasher, RandomState};
 use std::mem;
 use std::rc::Rc;
@@ -122,6 +123,40 @@
     asks: bool,
 }
 
+/// What another process of this node is told of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Copy {
+    key: String,
+    /// Nothing if the key is remembered no more.
+    known: Option<Known>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Known {
+    holder: RequestId,
+    print: u128,
+    ran: Micros,
+    until: Moment,
+    phase: Stage,
+    waiting: Vec<RequestId>,
+}
+
+/// How far a key has come, without a store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Stage {
+    Held,
+    Running,
+    Good(Vec<u8>),
+    Failed,
+}
+
+/// Keys that have changed since the other process was last told of them.
+#[derive(Debug, Default)]
+struct Mirror {
+    todo: VecDeque<Rc<str>>,
+    marked: HashSet<Rc<str>>,
+}
+
 /// What the store is held to be like.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Breaker {
@@ -190,9 +225,12 @@
     /// Keys by the time at which they are to be looked at, roughly in order.
     expiry: VecDeque<(Micros, Rc<str>)>,
     next_sweep: Micros,
-    /// Takes fingerprints where nothing survives a restart; keyed anew at each start, so that nobody can make two
-    /// bodies look alike.
-    prints: RandomState,
+    /// Takes fingerprints where nothing survives a restart; drawn anew for each node, so that nobody can make two
+    /// bodies look alike, and the same in all processes that follow each other.
+    secret: [u8; 32],
+    mirror: Option<Mirror>,
+    /// No first try before this: keys may bind that are not known here.
+    closed_until: Option<Micros>,
     settled: Vec<Settled>,
     durable: Option<Durable>,
     figures: Figures,
@@ -205,7 +243,9 @@
             keys: HashMap::new(),
             expiry: VecDeque::new(),
             next_sweep: Micros(0),
-            prints: RandomState::new(),
+            secret: secret(),
+            mirror: None,
+            closed_until: None,
             settled: Vec::new(),
             durable: None,
             figures: Figures::default(),
@@ -512,6 +552,7 @@
             let stamp = e.stamp;
             self.figures.bytes -= bytes(&key, &e.phase).min(self.figures.bytes);
             self.keys.remove(&key);
+            self.mark(&key);
             if let Some(d) = &mut self.durable {
                 d.removals.push_back(Write::Remove { key: key.to_string(), stamp });
             }
@@ -535,6 +576,15 @@
     }
 }
 
+/// Random bytes, as the system gives them to each process.
+fn secret() -> [u8; 32] {
+    let mut secret = [0; 32];
+    for (i, eight) in secret.chunks_exact_mut(8).enumerate() {
+        eight.copy_from_slice(&RandomState::new().hash_one(i).to_be_bytes());
+    }
+    secret
+}
+
 /// What an entry takes.
 fn bytes(key: &str, phase: &Phase) -> usize {
     let result = match phase {
@@ -546,15 +596,14 @@
 
 impl Register for Ledger {
     fn print(&self, body: &[u8]) -> u128 {
-        match self.durable {
-            None => self.prints.hash_one(body).into(),
-            // The same after a restart, and half as long as the hash: 2^64 tries for two alike.
-            Some(_) => {
-                let mut print = [0; 16];
-                print.copy_from_slice(&blake3::hash(body).as_bytes()[..16]);
-                u128::from_be_bytes(print)
-            }
-        }
+        // The same after a restart where there is a store; half as long as the hash: 2^64 tries for two alike.
+        let hash = match self.durable {
+            None => blake3::keyed_hash(&self.secret, body),
+            Some(_) => blake3::hash(body),
+        };
+        let mut print = [0; 16];
+        print.copy_from_slice(&hash.as_bytes()[..16]);
+        u128::from_be_bytes(print)
     }
 
     fn find(&mut self, now: Moment, key: &str, print: u128, at: Moment) -> Found {
@@ -562,6 +611,10 @@
             // Guards against a result that goes to whoever names its key: it is another request's.
             Some(e) if e.print != print => Found::OtherBody,
             Some(e) => Found::Prior(e.holder),
+            None if self.closed_until.is_some_and(|t| now.mono < t) => {
+                self.figures.turned_away += 1;
+                Found::Closed(self.closed_until.unwrap_or_default().since(now.mono))
+            }
             None if self.room_for(key) => Found::Nothing,
             None => {
                 self.figures.turned_away += 1;
@@ -571,6 +624,7 @@
     }
 
     fn keep(&mut self, key: &Rc<str>, id: RequestId, print: u128, until: Moment) -> Vec<RequestId> {
+        self.mark(key);
         let phase = Phase::Held;
         self.figures.bytes += bytes(key, &phase);
         let entry = Entry { holder: id, print, ran: Micros(0), until, stamp: 0, phase, waiting: Vec::new() };
@@ -588,6 +642,7 @@
     }
 
     fn begin(&mut self, now: Moment, key: &Rc<str>, id: RequestId, at: Moment, until: Moment) -> Begin {
+        self.mark(key);
         let Some(e) = self.keys.get_mut(key) else { return Begin::Never };
         if e.holder != id || e.phase != Phase::Held {
             return Begin::Never;
@@ -617,6 +672,7 @@
     }
 
     fn join(&mut self, key: &str, id: RequestId) -> Join {
+        self.mark(key);
         match self.keys.get_mut(key) {
             None => Join::Fail,
             Some(Entry { phase: Phase::Good(result), .. }) => Join::Replay(result.clone()),
@@ -629,6 +685,7 @@
     }
 
     fn end(&mut self, now: Moment, key: &Rc<str>, id: RequestId, end: RunResult) -> Ended {
+        self.mark(key);
         let ours = |e: &&mut Entry| e.holder == id && e.phase == Phase::Running;
         let Some(e) = self.keys.get_mut(key).filter(ours) else {
             let result = match end {
@@ -669,6 +726,7 @@
     }
 
     fn leave(&mut self, now: Moment, key: &Rc<str>, id: RequestId) -> Left {
+        self.mark(key);
         let Some(e) = self.keys.get_mut(key) else { return Left::default() };
         if e.holder != id {
             e.waiting.retain(|w| *w != id);
@@ -721,4 +779,98 @@
         self.figures.bytes -= bytes(&key, &entry.phase).min(self.figures.bytes);
         Some((entry.holder, entry.waiting))
     }
+
+    // ---- Another process of this node -----------------------------------------------------------------
+
+    fn mark(&mut self, key: &str) {
+        let Some(mirror) = &mut self.mirror else { return };
+        if !mirror.marked.contains(key) {
+            let key: Rc<str> = key.into();
+            mirror.marked.insert(key.clone());
+            mirror.todo.push_back(key);
+        }
+    }
+
+    /// From now on another process is told of all keys, or no more.
+    pub fn mirror(&mut self, on: bool) {
+        self.mirror = on.then(|| Mirror {
+            todo: self.keys.keys().cloned().collect(),
+            marked: self.keys.keys().cloned().collect(),
+        });
+    }
+
+    /// What the other process needs to make the same fingerprints.
+    pub fn secret(&self) -> [u8; 32] {
+        self.secret
+    }
+
+    /// Copies of up to so many keys that have changed, each as it is now; empty once the other process knows all.
+    pub fn copies(&mut self, most: usize) -> Vec<Copy> {
+        let Some(mirror) = &mut self.mirror else { return Vec::new() };
+        let n = most.min(mirror.todo.len());
+        let todo: Vec<Rc<str>> = mirror.todo.drain(..n).collect();
+        for key in &todo {
+            mirror.marked.remove(key);
+        }
+        let known = |e: &Entry| Known {
+            holder: e.holder,
+            print: e.print,
+            ran: e.ran,
+            until: e.until,
+            phase: match &e.phase {
+                Phase::Held | Phase::Intending => Stage::Held,
+                Phase::Running => Stage::Running,
+                Phase::Ending(result) | Phase::Good(result) => Stage::Good(result.to_vec()),
+                Phase::Failed => Stage::Failed,
+            },
+            waiting: e.waiting.clone(),
+        };
+        todo.iter().map(|key| Copy { key: key.to_string(), known: self.keys.get(key).map(known) }).collect()
+    }
+
+    /// Whether a key has changed of which the other process was not told.
+    pub fn is_behind(&self) -> bool {
+        self.mirror.as_ref().is_some_and(|mirror| !mirror.todo.is_empty())
+    }
+
+    /// Forgets all, and takes copies of another process's keys from now on.
+    pub fn begin_copy(&mut self, secret: [u8; 32]) {
+        self.keys.clear();
+        self.expiry.clear();
+        self.figures.bytes = 0;
+        self.secret = secret;
+    }
+
+    /// Takes a copy in place of what was known of its key.
+    pub fn adopt(&mut self, copy: Copy) {
+        let key: Rc<str> = copy.key.into();
+        if let Some(old) = self.keys.remove(&key) {
+            self.figures.bytes -= bytes(&key, &old.phase).min(self.figures.bytes);
+        }
+        let Some(known) = copy.known else { return };
+        let phase = match known.phase {
+            Stage::Held => Phase::Held,
+            Stage::Running => Phase::Running,
+            Stage::Good(result) => Phase::Good(result.into()),
+            Stage::Failed => Phase::Failed,
+        };
+        self.figures.bytes += bytes(&key, &phase);
+        self.expiry.push_back((known.until.mono.plus(READ_LATE), key.clone()));
+        let (holder, print, ran, until) = (known.holder, known.print, known.ran, known.until);
+        let entry = Entry { holder, print, ran, until, stamp: 0, phase, waiting: known.waiting };
+        self.keys.insert(key, entry);
+    }
+
+    /// The process that these copies are of is gone without a word: what ran there has no result to show, what was
+    /// held there never ran. If not all copies came, no first try is taken for as long as one may bind.
+    pub fn orphaned(&mut self, now: Moment, all: bool, window: Micros) {
+        self.keys.retain(|_, e| e.phase != Phase::Held);
+        for e in self.keys.values_mut() {
+            e.waiting.clear();
+            if e.phase == Phase::Running {
+                e.phase = Phase::Failed;
+            }
+        }
+        self.closed_until = Some(now.mono.plus(window).plus(READ_LATE)).filter(|_| !all);
+    }
 }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -14,4 +14,4 @@
 pub mod sqlite;
 pub mod worker;
 
-pub use ledger::{Breaker, Figures, Ledger, Limits};
+pub use ledger::{Breaker, Copy, Figures, Ledger, Limits};
--- a/src/main.rs
+++ b/src/main.rs
@@ -111,9 +111,11 @@
     let logs = Logs::start(config.operators.log);
     let mut node =
         node::turn::Node::start(system, config, logs).map_err(|e| Failure::Start(e.to_string()))?;
+    if let Some(admin) = node.admin_address() {
+        tracing::info!(node = name, %admin, "answering operators");
+    }
     if let Some(address) = node.address() {
-        let admin = node.admin_address().map(tracing::field::display);
-        tracing::info!(node = name, admin, %address, "listening");
+        tracing::info!(node = name, %address, "listening");
     }
     node.run().map_err(|e| Failure::Start(e.to_string()))
 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -5,6 +5,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
+use std::collections::BTreeSet;
 use std::ffi::{OsStr, OsString};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -67,7 +68,9 @@
 fn command(config: &Path, subcommand: &str) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_gaugestand"));
     command.arg(subcommand).env("BALANCER_CONFIG", config);
-    command.env_remove("BALANCER_NAME").env_remove("BALANCER_LISTEN");
+    command.env_remove("BALANCER_NAME").env_remove("BALANCER_LISTEN").env_remove("BALANCER_ADMIN_ADDR");
+    // Processes find others of their node in it: each test's are its own.
+    command.env_remove("TMPDIR");
     command.stdout(Stdio::piped()).stderr(Stdio::piped());
     command
 }
@@ -80,19 +83,29 @@
     *PROGRAM.lock().expect("no thread has panicked") = other.map(OsStr::to_os_string);
 }
 
+fn word(text: &str) -> String {
+    text.trim().split(['"', ' ']).next().unwrap_or_default().to_string()
+}
+
 /// Starts the program on a configuration and waits until it listens. Whoever has the child waits for its end.
 #[allow(clippy::zombie_processes)]
-fn serve(config: &Path, script: Option<&Path>) -> (Child, BufReader<Box<dyn Read>>, [String; 2]) {
+fn serve(
+    config: &Path,
+    script: Option<&Path>,
+    folder: Option<&Path>,
+) -> (Child, BufReader<Box<dyn Read>>, [String; 2]) {
     let mut command = command(config, "serve");
     if let Some(other) = PROGRAM.lock().expect("no thread has panicked").clone() {
         let mut earlier = Command::new(other);
         earlier.arg("serve").env("BALANCER_CONFIG", config).stdout(Stdio::piped()).stderr(Stdio::piped());
         command = earlier;
     }
+    command.envs(folder.iter().map(|f| ("TMPDIR", f)));
     command.args(script.iter().flat_map(|s| [OsStr::new("--settings"), s.as_os_str()]));
     let mut child = command.spawn().expect("the program starts");
     let said: Box<dyn Read> = Box::new(child.stderr.take().expect("piped"));
     let mut said = BufReader::new(said);
+    let mut admin = String::new();
     loop {
         let mut line = String::new();
         if said.read_line(&mut line).expect("a first line") == 0 {
@@ -100,9 +113,10 @@
         }
         let said_so = ["address=", "address\":\"", "listens on "].iter().find_map(|w| line.split_once(w));
         if let Some((_, address)) = said_so {
-            let word = |text: &str| text.trim().split(['"', ' ']).next().unwrap_or_default().to_string();
-            let admin = line.split_once("admin=").map(|(_, admin)| word(admin));
-            return (child, said, [word(address), admin.unwrap_or_default()]);
+            return (child, said, [word(address), admin]);
+        }
+        if let Some((_, address)) = line.split_once("admin=") {
+            admin = word(address);
         }
     }
 }
@@ -132,6 +146,8 @@
     said: BufReader<Box<dyn Read>>,
     config: PathBuf,
     script: Option<PathBuf>,
+    /// Where processes of the node find each other.
+    folder: Option<PathBuf>,
     text: Value,
     pub address: String,
     /// Where operators' calls come in; empty unless the configuration has one.
@@ -149,6 +165,20 @@
 
     /// The same with the operators' script.
     pub fn with(script: Option<&str>, change: impl FnOnce(&mut Value)) -> Self {
+        Scene::within(None, script, change)
+    }
+
+    /// A scene whose program can be replaced, with a second address.
+    pub fn shared() -> Self {
+        let folder = place("d");
+        std::fs::create_dir(&folder).expect("a folder");
+        Scene::within(Some(folder), None, |text| {
+            text["admin_addr"] = json!("127.0.0.1:0");
+            text["settings"]["extra"]["key-kb"] = json!(1.0);
+        })
+    }
+
+    fn within(folder: Option<PathBuf>, script: Option<&str>, change: impl FnOnce(&mut Value)) -> Self {
         let kernel = TcpListener::bind("127.0.0.1:0").expect("a port");
         // Bound but not listening: connections are refused until a test lets it listen.
         let store = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
@@ -165,8 +195,40 @@
             std::fs::write(&path, text).expect("a script");
             path
         });
-        let (child, said, [address, admin]) = serve(&config, script.as_deref());
-        Scene { child, said, config, script, text, address, admin, kernel, store, members }
+        let (child, said, [address, admin]) = serve(&config, script.as_deref(), folder.as_deref());
+        Scene { child, said, config, script, folder, text, address, admin, kernel, store, members }
+    }
+
+    /// Starts a second process of the node, with a kernel and a second address of its own.
+    pub fn successor(&self) -> Successor {
+        let kernel = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let mut text = self.text.clone();
+        text["kernel"] = json!(kernel.local_addr().expect("bound").to_string());
+        let config = place("json");
+        std::fs::write(&config, text.to_string()).expect("a configuration file");
+        let mut command = command(&config, "serve");
+        command.envs(self.folder.iter().map(|f| ("TMPDIR", f)));
+        let mut child = command.spawn().expect("the program starts");
+        let mut said = BufReader::new(child.stderr.take().expect("piped"));
+        let mut line = String::new();
+        while !line.contains("admin=") {
+            line.clear();
+            assert_ne!(said.read_line(&mut line).expect("a line"), 0, "it ended at once");
+        }
+        let admin = line.split_once("admin=").map(|(_, admin)| word(admin)).expect("an address");
+        std::thread::spawn(move || std::io::copy(&mut said, &mut std::io::stderr()));
+        Successor { child, config, kernel, admin }
+    }
+
+    /// The folder in which processes of the node find each other.
+    pub fn folder(&self) -> &Path {
+        self.folder.as_deref().expect("a shared scene")
+    }
+
+    /// Kills the program outright.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("it can be killed");
+        let _ = self.child.wait();
     }
 
     /// Kills the program outright and starts it again, with the same configuration and peers.
@@ -179,7 +241,8 @@
         self.child.kill().expect("it can be killed");
         let _ = self.child.wait();
         between();
-        (self.child, self.said, [self.address, self.admin]) = serve(&self.config, self.script.as_deref());
+        (self.child, self.said, [self.address, self.admin]) =
+            serve(&self.config, self.script.as_deref(), self.folder.as_deref());
     }
 
     /// Puts another script in place of the present one, and tells the program.
@@ -322,6 +385,50 @@
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
         self.script.iter().for_each(|s| drop(std::fs::remove_file(s)));
+        self.folder.iter().for_each(|f| drop(std::fs::remove_dir_all(f)));
+    }
+}
+
+/// A further process of a node.
+pub struct Successor {
+    child: Child,
+    config: PathBuf,
+    pub kernel: TcpListener,
+    pub admin: String,
+}
+
+impl Successor {
+    /// Waits until it says that it takes clients.
+    pub fn await_yes(&self) {
+        let began = Instant::now();
+        while call(&self.admin, "PING\n") != "done\n" {
+            assert!(began.elapsed() < PATIENCE, "it never said yes: {}", call(&self.admin, "PING\n"));
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Waits for its end; true if it ended well.
+    pub fn ended_well(&mut self) -> bool {
+        self.child.wait().expect("it ends").success()
+    }
+
+    /// Kills it outright.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("it can be killed");
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Successor {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
     }
 }
 
@@ -410,48 +517,78 @@
     runs: Arc<Mutex<Vec<(String, String)>>>,
 }
 
+/// What a life of the node has at its address of the kernel, over its links.
+#[derive(Default)]
+struct Life {
+    /// Numbered from 1.
+    notices: Vec<String>,
+    handles: BTreeSet<String>,
+}
+
 impl AutoKernel {
     /// Serves on this listener until the test ends.
     pub fn serve(listener: &TcpListener) -> Self {
         let kernel = AutoKernel::default();
-        let (listener, served) = (listener.try_clone().expect("a copy"), kernel.clone());
+        kernel.serve_also(listener);
+        kernel
+    }
+
+    /// Serves on this listener as well: one kernel with several addresses.
+    pub fn serve_also(&self, listener: &TcpListener) {
+        let (listener, kernel) = (listener.try_clone().expect("a copy"), self.clone());
+        let life = Arc::new(Mutex::new(Life::default()));
         std::thread::spawn(move || {
             while let Ok((stream, _)) = listener.accept() {
-                let served = served.clone();
-                std::thread::spawn(move || served.link(stream));
+                let (kernel, life) = (kernel.clone(), life.clone());
+                std::thread::spawn(move || kernel.link(stream, &life));
             }
         });
-        kernel
     }
 
-    fn link(&self, stream: TcpStream) {
+    fn link(&self, stream: TcpStream, life: &Mutex<Life>) {
         let Ok(copy) = stream.try_clone() else { return };
         let _ = stream.set_nodelay(true);
-        let (mut lines, mut cursor) = (BufReader::new(copy), 0);
+        let mut lines = BufReader::new(copy);
         let mut stream = stream;
         let mut line = String::new();
         // The node may be killed at any point: then its link ends, in the middle of a line or not.
         while matches!(lines.read_line(&mut line), Ok(n) if n > 0) {
             let Ok(command) = serde_json::from_str::<Value>(&line) else { return };
             line.clear();
-            let notice = match command["event"].as_str() {
-                Some("OPEN") => json!({"event": "BOOTED", "fate": "old", "lasted": 5}),
+            let mut life = life.lock().expect("no test thread has panicked");
+            let said = match command["event"].as_str() {
+                Some("OPEN") => {
+                    let read = command["cursor"].as_u64().expect("a number") as usize;
+                    if read == 0 {
+                        *life = Life::default();
+                    }
+                    let boot = json!({"event": "BOOTED", "fate": "old", "lasted": 5}).to_string();
+                    boot + "\n" + &life.notices[read..].concat()
+                }
                 Some("SYSINFO") => {
                     json!({"event": "INFO", "ticket": command["ticket"], "figures": [0.1, 0.0, 0.1, 3.0]})
+                        .to_string()
+                        + "\n"
                 }
                 Some("SCHED") => {
+                    // One that has run, or runs, is not run again.
+                    if !life.handles.insert(command["handle"].to_string()) {
+                        continue;
+                    }
                     let body = STANDARD.decode(command["arg"].as_str().unwrap_or("")).expect("base64");
                     let body = String::from_utf8(body).expect("text");
-                    cursor += 1;
                     let mut runs = self.runs.lock().expect("no test thread has panicked");
                     let result = format!("{body}#{}", runs.len());
                     runs.push((body, result.clone()));
-                    json!({"event": "REAP", "cursor": cursor, "handle": command["handle"], "fate": "good",
-                        "lasted": 1, "arg": STANDARD.encode(result)})
+                    let cursor = life.notices.len() + 1;
+                    let notice = json!({"event": "REAP", "cursor": cursor, "handle": command["handle"],
+                        "fate": "good", "lasted": 1, "arg": STANDARD.encode(result)});
+                    life.notices.push(format!("{notice}\n"));
+                    format!("{notice}\n")
                 }
                 _ => continue,
             };
-            if stream.write_all(format!("{notice}\n").as_bytes()).is_err() {
+            if stream.write_all(said.as_bytes()).is_err() {
                 return;
             }
         }
