Take new settings at SIGHUP, with classes that come, go and change in service

Change: core::classes gives classes slots, Facade::retune and Controller::retune go on under other settings, files that lack a key or have absurd lengths of time are turned down.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -225,14 +225,17 @@
     *mean += weight * (sample - *mean);
 }
 
+/// Calls have no bound where no dependency is shared.
+fn bounded(s: Settings) -> Settings {
+    let shared = s.below == Below::Shared && s.calls_out > 0.0;
+    Settings { calls_out: if shared { s.calls_out } else { f64::INFINITY }, ..s }
+}
+
 impl Controller {
     /// A controller for a worker that has just started. The seed is for random choices;
     /// this version makes none.
     pub fn new(settings: Settings, _seed: u64) -> Result<Self, SettingsError> {
-        let mut s = settings;
-        if s.below != Below::Shared || s.calls_out <= 0.0 {
-            s.calls_out = f64::INFINITY;
-        }
+        let s = bounded(settings);
         let bad = |key: &str, why| Err(SettingsError { key: key.to_string(), why });
         let unsound = [
             (s.cores == 0, "cores", "must be at least 1"),
@@ -280,6 +283,15 @@
         })
     }
 
+    /// Goes on under other settings. Requests keep the index of their class; each class goes on with what was
+    /// learnt of the one that it comes from. How it started is no news.
+    pub fn retune(&mut self, settings: Settings, from: &[Option<usize>]) {
+        let learnt = |i: &Option<usize>| self.est.runs.get((*i)?).copied().flatten();
+        self.est.runs = from.iter().map(learnt).collect();
+        self.tokens.resize(settings.tenants.len(), BURST.1);
+        self.s = bounded(Settings { cold: self.s.cold, ..settings });
+    }
+
     /// Whether the first step was taken; that one wants no event.
     pub fn started(&self) -> bool {
         self.born.is_some()
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -5,6 +5,7 @@
 //! what no front should know of: the controller's events and actions, its timers, the table of keys with
 //! stored results and windows, the announced capacity, health and the drain. It knows no protocol.
 
+use crate::classes::Plan;
 use crate::decide::Controller;
 use crate::interface::*;
 use crate::register::{Begin, Ended, Found, Join, Moment, Register, RunResult, Settled};
@@ -209,6 +210,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Carried {
     settings: Settings,
+    /// Which classes take requests.
+    pub open: Vec<bool>,
     controller: Option<Controller>,
     tries: BTreeMap<RequestId, Try>,
     owed: BTreeSet<(Micros, RequestId)>,
@@ -222,6 +225,8 @@
 #[derive(Debug)]
 pub struct Facade<R> {
     settings: Settings,
+    /// Which classes, by slot, take requests.
+    open: Vec<bool>,
     seed: u64,
     controller: Option<Controller>,
     tries: BTreeMap<RequestId, Try>,
@@ -245,6 +250,7 @@
     pub fn new(settings: Settings, seed: u64, register: R) -> Result<Self, SettingsError> {
         Controller::new(settings.clone(), seed)?;
         Ok(Facade {
+            open: vec![true; settings.classes.len()],
             settings,
             seed,
             controller: None,
@@ -266,6 +272,7 @@
     pub fn carry(&self) -> Carried {
         Carried {
             settings: self.settings.clone(),
+            open: self.open.clone(),
             controller: self.controller.clone(),
             tries: self.tries.clone(),
             owed: self.owed.clone(),
@@ -285,6 +292,25 @@
         self.due_timers.clear();
     }
 
+    /// The classes, by slot.
+    pub fn classes(&self) -> &[Class] {
+        &self.settings.classes
+    }
+
+    /// The slots that some try has.
+    pub fn used(&self) -> BTreeSet<usize> {
+        self.tries.values().map(|t| t.class).collect()
+    }
+
+    /// Other settings from now on, with their classes in slots as planned; tries that are here keep theirs.
+    pub fn retune(&mut self, settings: Settings, plan: &Plan) {
+        self.settings = Settings { classes: plan.classes.clone(), cold: self.settings.cold, ..settings };
+        self.open = plan.slots.open().to_vec();
+        if let Some(controller) = &mut self.controller {
+            controller.retune(self.settings.clone(), &plan.from);
+        }
+    }
+
     /// Tries whose work was begun and has not ended.
     pub fn running(&self) -> Vec<RequestId> {
         self.tries.iter().filter(|(_, t)| t.running).map(|(id, _)| *id).collect()
@@ -302,7 +328,7 @@
 
     /// Goes on in the place of another facade.
     pub fn resume(&mut self, carried: Carried) {
-        self.settings = carried.settings;
+        (self.settings, self.open) = (carried.settings, carried.open);
         self.controller = carried.controller;
         self.tries = carried.tries;
         (self.owed, self.timers, self.due_timers) = (carried.owed, carried.timers, carried.due_timers);
@@ -368,6 +394,11 @@
                 return Ok(());
             }
             Some(Found::Prior(id)) => Some(id),
+            // The class takes no requests any more: this one never runs.
+            Some(Found::Nothing) | None if !self.open.get(class).copied().unwrap_or(false) => {
+                self.turn_back(a.id, Micros(0), out);
+                return Ok(());
+            }
             Some(Found::Nothing) | None => None,
         };
         let (owed, awaits, running, ran, calling) = (true, false, false, false, false);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -73,6 +73,7 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod classes;
 mod decide;
 pub mod facade;
 mod interface;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,7 +5,8 @@
     Below, Class, Controller, Effect, Halt, Settings, SettingsError, Signal, Span, Tenant, WorthBy,
 };
 use gaugestand_settings::{Backend, Settings as Operators};
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::{env, fmt, fs};
@@ -14,6 +15,8 @@
 const LEAST_SOCKETS: usize = 32;
 /// Settings beyond this are absurd: cores, classes, requests.
 const MOST: f64 = 1e6;
+/// Lengths of time beyond this are absurd: a million seconds, in nanoseconds.
+const LONGEST: f64 = 1e15;
 
 /// What a node is told at its start.
 #[derive(Debug)]
@@ -44,6 +47,8 @@
     pub gauges: Vec<String>,
     /// What the decisions are told.
     pub settings: Settings,
+    /// The JSON file as it was read.
+    pub file: Value,
     /// The operators' script, where there is one.
     pub script: Option<PathBuf>,
     /// What it sets.
@@ -108,6 +113,7 @@
     extra: Extra,
     caps: Caps,
     rules: Rules,
+    #[serde(deserialize_with = "nanos")]
     tick: u64,
 }
 
@@ -115,15 +121,17 @@
 #[serde(rename_all = "kebab-case")]
 struct ToldClass {
     name: String,
+    #[serde(deserialize_with = "nanos")]
     goal_time: u64,
     #[serde(default)]
     aim_stretch: f64,
+    #[serde(deserialize_with = "nanos")]
     hard_limit: u64,
     worth: f64,
     #[serde(default)]
     late_worth: f64,
     effect: String,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "nanos")]
     dedup_window: u64,
 }
 
@@ -151,16 +159,16 @@
     #[serde(default)]
     cold: bool,
     cores: f64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "nanos")]
     dep_window: u64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "nanos")]
     fresh_for: u64,
     #[serde(default)]
     full_checks: bool,
     #[serde(default)]
     gauges: Vec<String>,
     halt: Option<String>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "nanos")]
     heeded: u64,
     heap_kb: f64,
     #[serde(default)]
@@ -169,16 +177,16 @@
     list_follows: bool,
     run_factor: f64,
     signal: Option<String>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "nanos")]
     stays_for: u64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "nanos")]
     caller_idle: u64,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Caps {
-    #[serde(default)]
+    #[serde(default, deserialize_with = "nanos")]
     max_retry_after: u64,
     #[serde(default)]
     retry_after: bool,
@@ -187,16 +195,29 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Rules {
+    #[serde(deserialize_with = "nanos")]
     grace_to_answer: u64,
     #[serde(default)]
     cold_share: f64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "nanos")]
     cold: u64,
+    #[serde(deserialize_with = "nanos")]
     drain_grace: u64,
+    #[serde(deserialize_with = "nanos")]
     fall: u64,
     fall_multiple: f64,
 }
 
+/// A length of time in nanoseconds, as any JSON number.
+fn nanos<'de, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+    let x = f64::deserialize(from)?;
+    if (0.0..=LONGEST).contains(&x) {
+        Ok(x as u64)
+    } else {
+        Err(serde::de::Error::custom("a length of time that is out of range"))
+    }
+}
+
 fn wrong<T>(key: &str, why: &str) -> Result<T, ConfigError> {
     Err(ConfigError::Told(format!("{key}: {why}")))
 }
@@ -231,32 +252,66 @@
     listen: Option<String>,
     admin: Option<String>,
 ) -> Result<Config, ConfigError> {
+    let value: Value = serde_json::from_str(text).or_else(|e| wrong("BALANCER_CONFIG", &e.to_string()))?;
     let mut file: File = serde_json::from_str(text).or_else(|e| wrong("BALANCER_CONFIG", &e.to_string()))?;
     file.name = name.or(file.name);
     file.listen = listen.or(file.listen);
     file.admin_addr = admin.or(file.admin_addr);
-    check(file)
+    Ok(Config { file: value, ..check(file)? })
 }
 
-/// Reads the configuration again. What a node cannot change while it serves must be as it was; what only tells
-/// of its start (the seed, the fleet and the callers at that time) may differ.
+/// A key that was there and is not. A class of a known name has to have all that it had, another one what all had.
+fn missing(old: &Value, new: &Value, path: &str) -> Option<String> {
+    let at = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, was)| match new.get(key) {
+            None => Some(at(key)),
+            Some(Value::Null) if !was.is_null() => Some(at(key)),
+            Some(is) => missing(was, is, &at(key)),
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let of_name = |name: &Value| old.iter().find(|c| c.get("name").is_some_and(|n| n == name));
+            let shared = |key: &String| old.iter().all(|c| c.get(key).is_some());
+            new.iter().enumerate().find_map(|(i, is)| {
+                let (path, is) = (at(&i.to_string()), is.as_object()?);
+                match (is.get("name").and_then(of_name), old.first()) {
+                    (Some(was), _) => missing(was, &Value::Object(is.clone()), &path),
+                    (None, Some(Value::Object(first))) => {
+                        let lacks = |key: &&String| shared(key) && !is.contains_key(*key);
+                        first.keys().find(lacks).map(|key| format!("{path}.{key}"))
+                    }
+                    _ => None,
+                }
+            })
+        }
+        _ => None,
+    }
+}
+
+/// Reads the configuration again. What a node cannot change while it serves must be as it was, and every key that the
+/// present file has must be there: a file that lacks one is one that was cut short or spoilt.
 pub fn reload(old: &Config) -> Result<Config, ConfigError> {
     let new = load(old.script.as_deref())?;
-    let told = |s: &Settings| Settings { fleet_size: 0, callers: 0, cold: false, ..s.clone() };
+    follows(old, &new)?;
+    Ok(new)
+}
+
+/// Whether a configuration may take the place of another while the node serves.
+pub fn follows(old: &Config, new: &Config) -> Result<(), ConfigError> {
+    if let Some(key) = missing(&old.file, &new.file, "") {
+        return wrong(&key, "is missing, and was there before");
+    }
     let same = [
         ("name", old.name == new.name),
         ("listen", old.listen == new.listen),
         ("limits.sockets", old.sockets == new.sockets),
-        ("settings.classes", old.classes == new.classes),
-        ("settings.extra.gauges", old.gauges == new.gauges),
-        ("settings", told(&old.settings) == told(&new.settings)),
     ];
     if let Some((key, _)) = same.into_iter().find(|s| !s.1) {
         return wrong(key, "cannot change while the node serves");
     }
     let store = |c: &Config| c.operators.record.as_ref().map(|r| (r.backend.clone(), r.entries));
     let same = [
-        ("record", "another store would not know what this one holds", store(old) == store(&new)),
+        ("record", "another store would not know what this one holds", store(old) == store(new)),
         ("log: `form`", "its reader expects one form", old.operators.log.form == new.operators.log.form),
     ];
     match same.into_iter().find(|s| !s.2) {
@@ -266,7 +321,7 @@
                 "{script}{what} cannot change while the node serves, as {why}; restart it"
             )))
         }
-        None => Ok(new),
+        None => Ok(()),
     }
 }
 
@@ -304,6 +359,7 @@
         classes: told.classes.into_iter().map(|c| c.name).collect(),
         gauges: told.extra.gauges,
         settings,
+        file: Value::Null,
         script: None,
         operators: Operators::default(),
     })
--- a/crates/node/src/cuts.rs
+++ b/crates/node/src/cuts.rs
@@ -133,7 +133,7 @@
             incoming.params(&[]);
             let ends = incoming.stdin(&[]);
             assert!(ends);
-            incoming.finish(&["quote".to_string()], &[false])
+            incoming.finish(|name| (name == "quote").then_some(0), &[false])
         };
         assert_eq!(read(&cuts(g, bytes.len())), read(&[]), "seed {seed}");
     }
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -368,6 +368,11 @@
         }
     }
 
+    /// From now on it names its gauges so.
+    pub fn set_gauges(&mut self, gauges: &[String]) {
+        self.gauges = gauges.to_vec();
+    }
+
     /// Gauges by name.
     pub fn gauges(&self, figures: &[f64]) -> Gauges {
         let get = |name: &str| {
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -155,11 +155,11 @@
         Ok(())
     }
 
-    fn asked(self, classes: &[String], keyed: &[bool]) -> Result<Asked, Fault> {
+    fn asked(self, class_of: impl Fn(&str) -> Option<usize>, keyed: &[bool]) -> Result<Asked, Fault> {
         if self.path == "/status/live" {
             return Ok(Asked::Check(self.deep));
         }
-        let class = self.path.strip_prefix("/svc/").and_then(|c| classes.iter().position(|name| name == c));
+        let class = self.path.strip_prefix("/svc/").and_then(class_of);
         let class = class.ok_or(Fault::NotFound)?;
         if !self.method_post {
             return Err(Fault::Method);
@@ -249,12 +249,16 @@
         self.fault.get_or_insert(fault);
     }
 
-    /// What the whole request asks for, and its body.
-    pub fn finish(self, classes: &[String], keyed: &[bool]) -> Result<(Asked, Vec<u8>), Fault> {
+    /// What the whole request asks for, and its body; `class_of` finds the slot of a class.
+    pub fn finish(
+        self,
+        class_of: impl Fn(&str) -> Option<usize>,
+        keyed: &[bool],
+    ) -> Result<(Asked, Vec<u8>), Fault> {
         match self.fault {
             Some(fault) => Err(fault),
             None if !self.params_ended => Err(Fault::Malformed("parameters without an end")),
-            None => Ok((self.params.asked(classes, keyed)?, self.body)),
+            None => Ok((self.params.asked(class_of, keyed)?, self.body)),
         }
     }
 }
--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -19,6 +19,7 @@
 use super::record::{self, Keeper};
 use super::request::{Asked, Fault, TryParams};
 use super::store::{self, Ended, Store};
+use gaugestand_core::classes::Slots;
 use gaugestand_core::facade::{Arrival, CallEnd, Facade, Micros, Report, RunEnd, Unfit, Verdict};
 use gaugestand_core::register::Register as _;
 use gaugestand_core::{Effect, RequestId, SettingsError, succession};
@@ -99,6 +100,9 @@
     counters: Counters,
     admin: Admin<S>,
     figures: Figures,
+    /// The classes, as requests know them.
+    slots: Slots,
+    keyed: Vec<bool>,
     tries: BTreeMap<RequestId, Place>,
     /// Other processes of this node.
     kin: Kindred<S>,
@@ -150,6 +154,8 @@
             counters: Counters::default(),
             admin,
             figures,
+            slots: Slots::new(&config.classes),
+            keyed: config.keyed.clone(),
             tries: BTreeMap::new(),
             kin,
             checks: Checks::default(),
@@ -389,6 +395,7 @@
                 self.store.move_to(new.store);
                 self.take_operators(&new);
                 self.config = new;
+                self.take_settings();
                 tracing::info!("the new configuration is in effect");
                 // After that line, so that it is told whatever the level is from now on.
                 self.logs.set_level(self.config.operators.log.level);
@@ -396,6 +403,16 @@
         }
     }
 
+    /// The settings of the present configuration take effect; what is open keeps its class.
+    fn take_settings(&mut self) {
+        let (names, settings) = (&self.config.classes, &self.config.settings);
+        let plan = self.slots.plan(self.facade.classes(), names, &settings.classes, &self.facade.used());
+        self.facade.retune(settings.clone(), &plan);
+        self.figures.list(names);
+        self.kernel.set_gauges(&self.config.gauges);
+        (self.slots, self.keyed) = (plan.slots, self.facade.keyed());
+    }
+
     /// What of the operators' settings can change while the node serves; none of it can fail.
     fn take_operators(&mut self, new: &Config) {
         let Some(stored) = &new.operators.record else { return };
@@ -459,8 +476,7 @@
     fn ended(&mut self, id: RequestId, end: End) {
         if let Some(place) = self.tries.get_mut(&id).filter(|place| place.open) {
             place.open = false;
-            let class = self.config.classes.get(place.class).map_or("", String::as_str);
-            self.figures.ended(class, end);
+            self.figures.ended(self.slots.name(place.class), end);
         }
     }
 
@@ -553,7 +569,7 @@
     fn take_request(&mut self, conn: ConnId, fcgi: u16) {
         let open = self.table.get(conn).and_then(|c| c.open.remove(&fcgi));
         let Some(Open::Incoming(incoming, keeps, _)) = open else { return };
-        let asked = incoming.finish(&self.config.classes, &self.config.keyed);
+        let asked = incoming.finish(|name| self.slots.find(name), &self.keyed);
         if let (Ok(_), Some(c)) = (&asked, self.table.get(conn)) {
             c.note_asked();
         }
@@ -579,8 +595,7 @@
         };
         let mut verdicts = Vec::new();
         if let Err(unfit) = self.facade.pick(self.clock.moment(), arrival, &mut verdicts) {
-            let class = self.config.classes.get(t.class).map_or("", String::as_str);
-            self.figures.turned_down(class, End::Error);
+            self.figures.turned_down(self.slots.name(t.class), End::Error);
             let fault = match unfit {
                 // Whatever became of the other one, this one cannot be told apart from it.
                 Unfit::Known => Fault::Malformed("X-Txn"),
@@ -803,8 +818,7 @@
                 Verdict::Run(id) => {
                     if let Some(place) = self.tries.get_mut(&id) {
                         let body = mem::take(&mut place.body);
-                        let class = self.config.classes.get(place.class).map_or("", String::as_str);
-                        self.kernel.sched(id, class, &body);
+                        self.kernel.sched(id, self.slots.name(place.class), &body);
                         self.counters.runs_sent += 1;
                     }
                 }
--- a/crates/node/src/turn/succeed.rs
+++ b/crates/node/src/turn/succeed.rs
@@ -385,7 +385,7 @@
             facade: self.facade.carry(),
             kernels,
             calls,
-            classes: self.config.classes.clone(),
+            classes: self.slots.names().to_vec(),
             idle: self.table.idle(),
         };
         let Some(wire) = &mut self.kin.down else { return };
@@ -543,6 +543,8 @@
             }
             self.tries.insert(place.id, place);
         }
+        self.slots = Slots::with(rest.classes, rest.facade.open.clone());
+        self.figures.list(self.slots.names());
         self.facade.resume(rest.facade);
         self.facade.set_linked(self.kernel.is_booted());
         let until = now.plus(self.facade.longest_deadline()).plus(OVERTIME);
@@ -565,17 +567,11 @@
         }
         self.go_into_service();
         tracing::info!(open = self.open_tries(), "took over");
-        self.adopt_settings(&rest.classes);
+        // This process may have been told of other settings than the one before it.
+        self.take_settings();
         self.let_go();
     }
 
-    /// The classes are those of the process before this one.
-    fn adopt_settings(&mut self, classes: &[String]) {
-        self.config.classes = classes.to_vec();
-        self.config.keyed = self.facade.keyed();
-        self.figures.list(classes);
-    }
-
     fn go_into_service(&mut self) {
         self.kin.open_door(&self.system);
         let spare = self.kin.spare.take();
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -1,9 +1,10 @@
-//! What operators meet, on the real program: the second address and its figures.
+//! What operators meet, on the real program: the second address, its figures, and new settings in service.
 
 mod peers;
 
+use gaugestand_node::config::{follows, parse};
 use peers::*;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::io::Write;
 use std::net::TcpStream;
 
@@ -97,3 +98,110 @@
     assert_eq!([told("dispatches"), told("concurrent")], [4, 0]);
     assert_eq!([told("reload_success"), told("reload_failure")], [0, 0]);
 }
+
+/// A file is turned down, and why.
+fn turned_down(old: &Value, text: &str) -> Option<String> {
+    let old = parse(&old.to_string(), None, None, None).expect("sound");
+    let new = parse(text, None, None, None);
+    new.and_then(|new| follows(&old, &new)).err().map(|e| e.to_string())
+}
+
+// Guards against half a file, or an absurd one, that takes effect.
+#[test]
+fn a_file_is_turned_down_for_each_thing_that_is_wrong_with_it() {
+    let sound = config(1, 2, 3);
+    let text = sound.to_string();
+    assert_eq!(turned_down(&sound, &text), None);
+    for cut in 0..text.len() {
+        assert!(turned_down(&sound, &text[..cut]).is_some(), "cut at {cut}");
+    }
+    // Every key, one after the other.
+    let mut paths = vec![String::new()];
+    while let Some(path) = paths.pop() {
+        let children: Vec<String> = match sound.pointer(&path) {
+            Some(Value::Object(object)) => object.keys().cloned().collect(),
+            Some(Value::Array(array)) => (0..array.len()).map(|i| i.to_string()).collect(),
+            _ => Vec::new(),
+        };
+        for child in children {
+            let mut lacks = sound.clone();
+            if let Some(Value::Object(parent)) = lacks.pointer_mut(&path) {
+                parent.remove(&child);
+                assert!(turned_down(&sound, &lacks.to_string()).is_some(), "without {path}/{child}");
+            }
+            paths.push(format!("{path}/{child}"));
+        }
+    }
+    for key in ["hard-limit", "goal-time"] {
+        let at = format!("/settings/classes/1/{key}");
+        for value in
+            ["0", "-1", "-0.0", "1e300", "1e999", "NaN", "Infinity", "\"9700\"", "null", "[]", "true"]
+        {
+            let mut absurd = sound.clone();
+            *absurd.pointer_mut(&at).expect("there") = json!("HERE");
+            let absurd = absurd.to_string().replace("\"HERE\"", value);
+            assert!(turned_down(&sound, &absurd).is_some(), "{key} {value}");
+        }
+        let mut fine = sound.clone();
+        *fine.pointer_mut(&at).expect("there") = json!(2.5e9);
+        assert_eq!(turned_down(&sound, &fine.to_string()), None);
+    }
+    let mut twice = sound.clone();
+    twice["settings"]["classes"][1]["name"] = json!("quote");
+    assert!(turned_down(&sound, &twice.to_string()).is_some());
+}
+
+// Guards against open requests that lose their class, and against keys that go with a class.
+#[test]
+fn classes_come_and_go_while_their_requests_are_open() {
+    let mut scene = scene();
+    let mut kernel = scene.link();
+    scene.await_good();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "booking", &txn(1), b"b");
+    kernel.expect("SCHED", &txn(1));
+    gateway.request(2, "quote", &txn(2), b"q");
+    kernel.expect("SCHED", &txn(2));
+    let mut text = scene.configuration();
+    let classes = text["settings"]["classes"].as_array_mut().expect("a list");
+    classes.remove(1);
+    classes[0]["hard-limit"] = json!(1_500_000_000u64);
+    let mut new = classes[0].clone();
+    new["name"] = json!("upgrade");
+    classes.insert(0, new);
+    for key in ["class-calls", "class-skip-worth"] {
+        text["settings"]["extra"][key] =
+            json!([0, 0].map(|n| if key == "class-calls" { json!(true) } else { json!(n) }));
+    }
+    scene.reload(&text.to_string());
+    scene.await_said("in effect");
+    // A new class is served, one that is gone is refused; repeats of its keys still get what there is.
+    gateway.request(3, "upgrade", &txn(3), b"u");
+    let command = kernel.command();
+    assert_eq!((&command["handle"], &command["entry"]), (&json!(txn(3)), &json!("upgrade")));
+    kernel.reap(&txn(3), "good", b"up");
+    assert_eq!(gateway.answer().body, b"up");
+    gateway.send(&try_records(4, "booking", &txn(4), &[("HTTP_X_TXN_KEY", "other")], b"b"));
+    let refused = gateway.answer();
+    assert_eq!((refused.id, &refused.status[..3]), (4, "503"));
+    gateway.request(5, "booking", &txn(5), b"b");
+    kernel.reap(&txn(1), "good", b"booked");
+    let mut both = [gateway.answer(), gateway.answer()].map(|a| (a.id, a.body));
+    both.sort();
+    assert_eq!(both, [(1, b"booked".to_vec()), (5, b"booked".to_vec())]);
+    gateway.request(6, "booking", &txn(6), b"b");
+    assert_eq!(gateway.answer().body, b"booked");
+    // The other one keeps the deadline that it came with, beyond that of its class today.
+    std::thread::sleep(std::time::Duration::from_millis(1_800));
+    kernel.reap(&txn(2), "good", b"quoted");
+    assert_eq!(gateway.answer().body, b"quoted");
+    assert_eq!(scene.figure("reload_success"), 1);
+    assert_eq!(scene.figure("replies.booking.overload"), 1);
+    assert_eq!(scene.figure("replies.booking.success"), 3);
+    // Turned down: nothing changes.
+    scene.reload("");
+    scene.await_said("stays");
+    assert_eq!(scene.figure("reload_failure"), 1);
+    gateway.request(7, "upgrade", &txn(7), b"u");
+    kernel.expect("SCHED", &txn(7));
+}
