Wake for what is due between processes, and share what was written twice

Seen on reading the whole change: Node::pass() never asked Kindred::wake() (turn.rs, the list of wakes before its end), so what is due between processes, such as a heir that does not read or an inherited kernel's next link, waited for something else to wake the loop; the controller's timer, every 4 ms, hid it. A test of it would need a node without that timer, so there is none. Shared now: next_turn() for both kinds of turn, seeks(), forget_sent(); connections of the elder are found by name in a map where a list was searched for each try. Nothing else changes.

--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -114,6 +114,12 @@
     stop: Option<Micros>,
 }
 
+/// The earliest of these, or the longest wait. Nothing is looked at again at once: what is overdue then waits for
+/// something else to happen.
+fn next_turn(now: Micros, wake: impl IntoIterator<Item = Option<Micros>>) -> Micros {
+    wake.into_iter().flatten().min().unwrap_or(now.plus(LONGEST_WAIT)).max(now.plus(Micros(200)))
+}
+
 fn longest_window(config: &Config) -> Micros {
     let keyed = config.settings.classes.iter().filter(|c| c.effect == Effect::Keyed);
     keyed.map(|c| c.dedup_window).max().unwrap_or_default().into()
@@ -278,10 +284,10 @@
             self.checks.wake(),
             self.record.wake(),
             self.admin.wake(),
+            self.kin.wake(),
             leaving,
         ]);
-        // Nothing is looked at again at once: what is overdue then waits for something else to happen.
-        wake.into_iter().flatten().min().unwrap_or(now.plus(LONGEST_WAIT)).max(now.plus(Micros(200)))
+        next_turn(now, wake)
     }
 
     fn flush(&mut self) {
--- a/crates/node/src/turn/succeed.rs
+++ b/crates/node/src/turn/succeed.rs
@@ -46,7 +46,7 @@
     /// The elder's listening socket.
     spare: Option<S::Listener>,
     /// What the elder has sent at its end, and its connections' names there and here.
-    conns: Vec<(ConnId, ConnId)>,
+    conns: BTreeMap<ConnId, ConnId>,
     places: Vec<kin::Place>,
     rest: Option<Box<Rest>>,
     /// Ends of calls that nobody may be told of yet.
@@ -87,7 +87,7 @@
             up: None,
             down: None,
             spare: None,
-            conns: Vec::new(),
+            conns: BTreeMap::new(),
             places: Vec::new(),
             rest: None,
             ends: Vec::new(),
@@ -179,10 +179,14 @@
         !self.machine.is_node()
     }
 
+    /// Whether it looks for the process that is the node.
+    fn seeks(&self) -> bool {
+        matches!(self.machine.role(), Role::Heir { .. }) && self.up.is_none()
+    }
+
     /// When to look again although nothing comes.
     pub(super) fn wake(&self) -> Option<Micros> {
-        let seeks = matches!(self.machine.role(), Role::Heir { .. }) && self.up.is_none();
-        let look = Some(self.next_look).filter(|_| seeks);
+        let look = Some(self.next_look).filter(|_| self.seeks());
         let held_up = self.held_up.map(|t| t.plus(HELD_UP));
         let until = self.inherited.iter().map(|i| i.until).min();
         let links = self.inherited.iter().filter_map(|i| i.kernel.wake()).min();
@@ -505,7 +509,7 @@
                 let stream = wire.take_stream(self.table.next_key())?;
                 let there = conn.id;
                 let here = self.table.resume(stream, *conn);
-                self.kin.conns.push((there, here));
+                self.kin.conns.insert(there, here);
             }
             Frame::Try(place) if waits => self.kin.places.push(*place),
             Frame::Rest(rest) if waits => self.kin.rest = Some(rest),
@@ -534,10 +538,8 @@
         self.write_up();
         let Some(rest) = self.kin.rest.take() else { return };
         let here = mem::take(&mut self.kin.conns);
-        let here =
-            |there: ConnId| here.iter().find(|(t, _)| *t == there).map_or(ConnId::NOWHERE, |(_, h)| *h);
         for mut place in mem::take(&mut self.kin.places) {
-            place.conn = here(place.conn);
+            place.conn = here.get(&place.conn).copied().unwrap_or(ConnId::NOWHERE);
             if place.open {
                 self.figures.taken();
             }
@@ -585,13 +587,18 @@
         self.table.stop(false);
     }
 
+    /// Forgets what the elder has sent at its end.
+    fn forget_sent(&mut self) {
+        (self.kin.conns, self.kin.places, self.kin.rest) = (BTreeMap::new(), Vec::new(), None);
+        self.table.retire();
+    }
+
     /// The elder is gone without a word.
     fn serve(&mut self, all: bool) {
         tracing::warn!(all, "the process before this one is gone; serving with the keys that it told of");
         let (now, window) = (self.clock.moment(), longest_window(&self.config));
         self.facade.register().orphaned(now, all, window);
-        (self.kin.conns, self.kin.places, self.kin.rest) = (Vec::new(), Vec::new(), None);
-        self.table.retire();
+        self.forget_sent();
         self.go_into_service();
         if let Some((cold, age)) = self.kin.booted {
             self.report(Report::Booted { cold, age });
@@ -602,8 +609,7 @@
     fn seek_anew(&mut self) {
         self.kin.up = None;
         self.kin.spare = None;
-        (self.kin.conns, self.kin.places, self.kin.rest) = (Vec::new(), Vec::new(), None);
-        self.table.retire();
+        self.forget_sent();
         let register = self.facade.register();
         let secret = register.secret();
         register.begin_copy(secret);
@@ -612,10 +618,8 @@
 
     fn seek(&mut self) {
         let now = self.clock.now();
-        let seeks = matches!(self.kin.machine.role(), Role::Heir { .. }) && self.kin.up.is_none();
-        let Some((socket, _)) = self.kin.paths.as_ref().filter(|_| seeks && now >= self.kin.next_look) else {
-            return;
-        };
+        let looks = self.kin.seeks() && now >= self.kin.next_look;
+        let Some((socket, _)) = self.kin.paths.as_ref().filter(|_| looks) else { return };
         self.kin.next_look = now.plus(LOOK);
         match self.system.kin(socket, UP) {
             Ok(kin) => self.kin.up = Some(Wire::new(kin)),
@@ -696,7 +700,6 @@
         self.tick_kin();
         self.flush_kin();
         let stop = self.stop;
-        let wake = [kernel, self.store.wake(), self.admin.wake(), self.kin.wake(), stop];
-        wake.into_iter().flatten().min().unwrap_or(now.plus(LONGEST_WAIT)).max(now.plus(Micros(200)))
+        next_turn(now, [kernel, self.store.wake(), self.admin.wake(), self.kin.wake(), stop])
     }
 }
