Heed what a try tells of its caller's patience, and go on without a call

Seen by reading the node's intake beside the simulator's adapter: X-Ttl-Ms, X-Second-Try and X-Row were passed over (request.rs, Params::take), the facade gave the controller no due time and no mark (facade.rs, pick), and made its SkipCall a failure. The new tests fail without it: a try with 400 ms of patience was answered after 1 s, and a run whose call came to nothing at a site that pays for it without was failed.

The due time is now what the try tells, at most the class's deadline; a spent one is refused at once. NOIO goes out by the number of the notice, is said again on a new link, and where the kernel turns it down the try is failed at once.

--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -79,6 +79,13 @@
     pub rank: f64,
     /// The number of its caller.
     pub caller: u64,
+    /// How long its caller waits, counted from `ingress`, where that is told. More than the class's deadline counts
+    /// as that; one that is spent when it is read has it refused at once.
+    pub patience: Option<Micros>,
+    /// It is marked as a further try or a second copy.
+    pub again: bool,
+    /// What a read is about, where that is told.
+    pub subject: Option<u64>,
 }
 
 /// How a run ended.
@@ -129,6 +136,8 @@
     WantsCall(RequestId),
     /// A call ended after this long.
     Called(RequestId, CallEnd, Micros),
+    /// A run cannot go on without its call after all.
+    CannotSkip(RequestId),
     /// The caller no longer waits for this try.
     Aborted(RequestId),
     /// The program is told to leave; it is stopped at this time.
@@ -146,6 +155,8 @@
     Stop(RequestId),
     /// Make the call that its run waits for; it is given up after this long.
     Call(RequestId, Micros),
+    /// Its run goes on without the call that it waits for.
+    SkipCall(RequestId),
     /// Give up its call; nothing is expected of it any more.
     DropCall(RequestId),
     /// Answer it: never run, with when to come back and whether to try elsewhere meanwhile.
@@ -382,7 +393,8 @@
         let ingress = Moment { mono: Micros(now.mono.0.saturating_sub(a.age.0)), wall: a.ingress };
         let keyed = settings.effect == Effect::Keyed;
         let repeat_key: Option<Rc<str>> = a.repeat_key.filter(|_| keyed).map(Rc::from);
-        let due = ingress.mono.plus(settings.deadline.into()).max(now.mono);
+        let longest: Micros = settings.deadline.into();
+        let due = ingress.mono.plus(a.patience.map_or(longest, |p| p.min(longest))).max(now.mono);
         let print = repeat_key.as_ref().map_or(0, |_| self.register.print(a.body));
         let found = repeat_key.as_ref().map(|key| self.register.find(now, key, print, ingress));
         let prior = match found {
@@ -409,13 +421,13 @@
             id: a.id,
             class,
             tenant: 0,
-            key: None,
-            deadline: None,
+            key: a.subject.filter(|_| !keyed),
+            deadline: a.patience.map(|_| due.time()),
             hint: a.hint.map(Micros::span),
             held_kb: a.held_kb,
             rank: a.rank,
             caller: a.caller,
-            is_retry: false,
+            is_retry: a.again,
             unread_for: a.age.span(),
             prior,
         };
@@ -441,6 +453,11 @@
             Report::Ended(id, end) => self.ended(now, id, end, out),
             Report::WantsCall(id) => self.pending.push(Event::AtCall(id)),
             Report::Called(id, end, lag) => self.called(id, end, lag),
+            Report::CannotSkip(id) => {
+                // It would wait for a call that nobody makes.
+                self.pending.push(Event::Gone(id));
+                self.fail(now, id, out);
+            }
             Report::Aborted(id) => self.aborted(now, id, out),
             Report::Drain(stop) => {
                 self.drain = Some(stop);
@@ -521,8 +538,11 @@
                     self.turn_away(now, id, stay_away.into(), give_up, out);
                 }
                 Action::Fail(id) => self.fail(now, id, out),
-                // No work is left out on this kind of link; a run that cannot go on has failed.
-                Action::SkipCall(id) => self.fail(now, id, out),
+                Action::SkipCall(id) => {
+                    if self.tries.get(&id).is_some_and(|t| t.running) {
+                        out.push(Verdict::SkipCall(id));
+                    }
+                }
                 Action::Reuse(id) => self.reuse(id, out),
                 Action::Keep(id, span) => self.keep(id, now.plus(span.into()), out),
                 Action::Forget(id) => self.forget(now, id, out),
--- a/crates/core/tests/facade.rs
+++ b/crates/core/tests/facade.rs
@@ -20,7 +20,12 @@
 
 impl Desk {
     fn new() -> Self {
-        let settings = Settings { below: Below::Tier, ..settings() };
+        Desk::with(|_| ())
+    }
+
+    fn with(change: impl FnOnce(&mut Settings)) -> Self {
+        let mut settings = Settings { below: Below::Tier, ..settings() };
+        change(&mut settings);
         let facade = Facade::new(settings, 1, Ledger::volatile()).expect("sound settings");
         let mut desk = Desk { facade, now: Micros::millis(3_600_000) };
         desk.report(Report::Booted { cold: false, age: Micros(0) });
@@ -32,18 +37,33 @@
     }
 
     fn pick_body(&mut self, id: u128, class: usize, age: u64, body: &[u8]) -> Result<Vec<Verdict>, Unfit> {
-        let arrival = Arrival {
+        self.pick_try(id, class, age, |a| a.body = body)
+    }
+
+    /// The same with whatever `change` makes of it.
+    fn pick_try<'a>(
+        &mut self,
+        id: u128,
+        class: usize,
+        age: u64,
+        change: impl FnOnce(&mut Arrival<'a>),
+    ) -> Result<Vec<Verdict>, Unfit> {
+        let mut arrival = Arrival {
             id: RequestId(id),
             class,
             repeat_key: Some("k".to_string()),
-            body,
+            body: b"body",
             age: Micros::millis(age),
             ingress: self.moment().wall.since(Micros::millis(age)),
             hint: None,
             held_kb: 20.0,
             rank: 0.5,
             caller: 1,
+            patience: None,
+            again: false,
+            subject: None,
         };
+        change(&mut arrival);
         let mut out = Vec::new();
         self.facade.pick(self.moment(), arrival, &mut out).map(|()| out)
     }
@@ -196,3 +216,90 @@
     assert!(desk.now < stop);
     assert_eq!(desk.facade.owed(), 0);
 }
+
+/// When a try is answered that came with this patience, in ms after it came to the machine; nothing ever ends its run.
+fn answered_after(age: u64, patience: Option<u64>) -> u64 {
+    let mut desk = Desk::new();
+    let began = desk.now;
+    let told = |a: &mut Arrival<'_>| a.patience = patience.map(Micros::millis);
+    let mut out = desk.pick_try(1, PURE, age, told).expect("it is taken in");
+    while !out.iter().any(|v| matches!(v, Verdict::Refuse { .. } | Verdict::Fail { .. })) {
+        out = desk.pass(4);
+    }
+    age + desk.now.since(began).0 / 1000
+}
+
+// Guards against answers for callers that are gone: at sites that tell it, a further try has less time left than the
+// deadline of its class.
+#[test]
+fn a_try_is_answered_within_the_patience_that_it_tells() {
+    // The class: an aim of 1 s, a deadline of 3 s. Age, patience, answered from, answered by.
+    let table = [
+        (0, Some(400), 300, 400),
+        (300, Some(400), 300, 400),
+        // Spent when it is read, and spent from the start: at once.
+        (500, Some(400), 500, 500),
+        (0, Some(0), 0, 0),
+        // Longer than the class lets anyone wait, or not told: as the class has it.
+        (0, Some(60_000), 900, 1_000),
+        (0, None, 900, 1_000),
+    ];
+    for (age, patience, least, most) in table {
+        let after = answered_after(age, patience);
+        // The slack that the rules allow.
+        assert!((least..=most + 60).contains(&after), "{patience:?} at {age}: answered after {after} ms");
+    }
+}
+
+#[test]
+fn a_keyed_try_whose_patience_is_spent_never_runs_and_leaves_its_key_free() {
+    let mut desk = Desk::new();
+    let out = desk.pick_try(1, KEYED, 500, |a| a.patience = Some(Micros::millis(400))).expect("taken in");
+    assert!(matches!(out[0], Verdict::Refuse { id: RequestId(1), .. }), "{out:?}");
+    assert_eq!(desk.pick(2, KEYED, 0), [Verdict::Run(id(2))]);
+}
+
+#[test]
+fn a_marked_further_try_goes_behind_first_ones_of_equal_worth() {
+    let mut desk = Desk::new();
+    for n in 10..12 {
+        desk.pick(n, PURE, 0);
+    }
+    desk.pick_try(1, PURE, 0, |a| a.again = true).expect("taken in");
+    desk.pick(2, PURE, 0);
+    let out = desk.report(Report::Ended(id(10), RunEnd::Good(result())));
+    assert!(out.contains(&Verdict::Run(id(2))) && !out.contains(&Verdict::Run(id(1))), "{out:?}");
+}
+
+// Guards against the loss of what an answer without its call still earns.
+#[test]
+fn a_run_goes_on_without_a_call_that_came_to_nothing_where_that_earns_something() {
+    for (end, skips) in [
+        (CallEnd::Busy, true),
+        (CallEnd::Late, true),
+        (CallEnd::Broken, true),
+        (CallEnd::Failed, true),
+        (CallEnd::Unreachable, true),
+        (CallEnd::Good, false),
+    ] {
+        let mut desk = Desk::with(|s| s.classes[PURE].skip_worth = 0.3);
+        desk.pick(1, PURE, 0);
+        desk.report(Report::WantsCall(id(1)));
+        let out = desk.report(Report::Called(id(1), end, Micros(900)));
+        assert_eq!(out.contains(&Verdict::SkipCall(id(1))), skips, "{end:?}: {out:?}");
+        assert!(!out.iter().any(|v| matches!(v, Verdict::Fail { .. })), "{end:?}: {out:?}");
+        // A reply that comes all the same changes nothing.
+        assert_eq!(desk.report(Report::Called(id(1), CallEnd::Good, Micros(950))), []);
+        let served = desk.report(Report::Ended(id(1), RunEnd::Good(result())));
+        assert_eq!(served, [Verdict::Serve(id(1), result()), Verdict::Forget(id(1))]);
+    }
+    // Where the kernel will not have it the try is failed at once, and only once.
+    let mut desk = Desk::with(|s| s.classes[PURE].skip_worth = 0.3);
+    desk.pick(1, PURE, 0);
+    desk.report(Report::WantsCall(id(1)));
+    desk.report(Report::Called(id(1), CallEnd::Busy, Micros(900)));
+    let out = desk.report(Report::CannotSkip(id(1)));
+    assert!(matches!(out[0], Verdict::Fail { id: RequestId(1), .. }), "{out:?}");
+    assert_eq!(desk.report(Report::CannotSkip(id(1))), []);
+    assert_eq!(desk.report(Report::Ended(id(1), RunEnd::Cut)), [Verdict::Forget(id(1))]);
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -45,6 +45,8 @@
     pub keyed: Vec<bool>,
     /// Names of the kernel's gauges, in their order.
     pub gauges: Vec<String>,
+    /// Whether requests say how long their gateway waits.
+    pub tells_patience: bool,
     /// What the decisions are told.
     pub settings: Settings,
     /// The JSON file as it was read.
@@ -161,8 +163,6 @@
     cores: f64,
     #[serde(default, deserialize_with = "nanos")]
     dep_window: u64,
-    #[serde(default, deserialize_with = "nanos")]
-    fresh_for: u64,
     #[serde(default)]
     full_checks: bool,
     #[serde(default)]
@@ -175,6 +175,8 @@
     key_kb: f64,
     #[serde(default)]
     list_follows: bool,
+    #[serde(default)]
+    passes_deadline: bool,
     run_factor: f64,
     signal: Option<String>,
     #[serde(default, deserialize_with = "nanos")]
@@ -358,6 +360,7 @@
         keyed: settings.classes.iter().map(|c| c.effect == Effect::Keyed).collect(),
         classes: told.classes.into_iter().map(|c| c.name).collect(),
         gauges: told.extra.gauges,
+        tells_patience: told.extra.passes_deadline,
         settings,
         file: Value::Null,
         script: None,
@@ -442,7 +445,8 @@
         heeded: Span(x.heeded),
         max_stay_away: told.caps.retry_after.then_some(Span(told.caps.max_retry_after)),
         caller_idle: Span(x.caller_idle),
-        fresh_for: Span(x.fresh_for),
+        // On this protocol a request that is served with what no run made for it counts as lost: reads share nothing.
+        fresh_for: Span(0),
         full_checks: x.full_checks,
         list_follows: x.list_follows,
         cold: x.cold,
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -95,6 +95,10 @@
     calls_sent,
     /// Calls dropped.
     calls_dropped,
+    /// Calls that a run went on without.
+    calls_skipped,
+    /// Requests that did not say how long their gateway waits, though the site's do.
+    patience_untold,
     /// Replies read from the store.
     replies_read,
     /// Replies to no call that is out on their connection: second copies, unknown ids, calls given up.
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -31,8 +31,8 @@
     },
     /// A run is over.
     Reap(RequestId, Fate),
-    /// A run waits for a call with this body.
-    IoReq(RequestId, Vec<u8>),
+    /// A run waits for a call with this body; the notice has this number.
+    IoReq(RequestId, u64, Vec<u8>),
     /// The gauges, in the order of the settings.
     Info(u64, Vec<f64>),
     /// How the work of a deep check ended.
@@ -61,6 +61,8 @@
 pub enum Command {
     /// Run a request.
     Sched,
+    /// Go on without a call.
+    NoIo,
     /// Any other.
     Other,
 }
@@ -110,10 +112,11 @@
             ("REAP", Some("bad")) => Notice::Reap(self.id()?, Fate::Bad),
             ("REAP", Some("cut")) => Notice::Reap(self.id()?, Fate::Cut),
             ("REAP", Some("gone")) => Notice::Reap(self.id()?, Fate::Gone),
-            ("IOREQ", _) => Notice::IoReq(self.id()?, self.bytes()?),
+            ("IOREQ", _) => Notice::IoReq(self.id()?, self.cursor.ok_or(BadLine)?, self.bytes()?),
             ("INFO", _) => Notice::Info(self.tag()?, self.figures.clone().ok_or(BadLine)?),
             ("POSTED", Some(end @ ("good" | "bad"))) => Notice::Posted(self.tag()?, end == "good"),
             ("EINVAL", Some("SCHED")) => Notice::Invalid(Command::Sched, self.id().ok()),
+            ("EINVAL", Some("NOIO")) => Notice::Invalid(Command::NoIo, self.id().ok()),
             ("EINVAL", _) => Notice::Invalid(Command::Other, self.id().ok()),
             ("DMESG", _) => Notice::Dmesg,
             _ => return Err(BadLine),
@@ -260,6 +263,13 @@
         self.command(id, format!(r#"{{"event":"IODONE","handle":"{}","arg":"{arg}"}}"#, id_text(id)));
     }
 
+    /// Has a run go on without the call that the notice of this number asked for. Said twice it does no more than once:
+    /// the kernel tells calls of one run apart by that number.
+    pub fn no_io(&mut self, id: RequestId, notice: u64) {
+        let id_text = id_text(id);
+        self.command(id, format!(r#"{{"event":"NOIO","handle":"{id_text}","cursor":{notice}}}"#));
+    }
+
     /// Sends a command now, and keeps it until it is known to be read.
     fn command(&mut self, id: RequestId, text: String) {
         if self.is_linked() {
@@ -351,7 +361,7 @@
                 self.ask();
                 self.barrier = Some(self.ticket);
             }
-            Notice::Reap(id, _) | Notice::IoReq(id, _) => self.unread.retain(|u| u.id != *id),
+            Notice::Reap(id, _) | Notice::IoReq(id, ..) => self.unread.retain(|u| u.id != *id),
             Notice::Info(ticket, _) if self.barrier == Some(*ticket) => {
                 self.barrier = None;
                 let again: Vec<String> = self.unread.iter().map(|u| u.text.clone()).collect();
--- a/crates/node/src/kin.rs
+++ b/crates/node/src/kin.rs
@@ -13,7 +13,7 @@
 use std::io;
 
 /// What each side says first: another version is another word, and breaks the link.
-pub const WORD: &[u8; 8] = b"gskin-1\n";
+pub const WORD: &[u8; 8] = b"gskin-2\n";
 /// Longest frame; a facade with ten thousand tries takes a few megabytes.
 const MOST_FRAME: usize = 16 << 20;
 /// Most bytes read in one turn, so that a long row of frames leaves the loop responsive.
@@ -69,6 +69,8 @@
     pub body: Vec<u8>,
     /// The body of the call that its run waits for.
     pub call: Vec<u8>,
+    /// The number of the notice that asked for it.
+    pub call_notice: u64,
     /// It was taken and has not ended.
     pub open: bool,
 }
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -9,6 +9,8 @@
 pub const MOST_BODY: usize = 2048;
 /// Most bytes of parameters.
 const MOST_PARAMS: usize = 16 * 1024;
+/// No patience is as long as this, in milliseconds: some eleven days.
+const MOST_TTL: f64 = 1e9;
 /// Longest name-value pair that may lie across records; longer ones must come in one piece.
 const MOST_PAIR: usize = 4096;
 
@@ -56,6 +58,9 @@
     held_kb: Option<f64>,
     rank: Option<f64>,
     repeat_key: Option<String>,
+    patience: Option<Micros>,
+    again: bool,
+    row: Option<u64>,
 }
 
 /// What a whole request asks for.
@@ -86,6 +91,12 @@
     pub rank: f64,
     /// For keyed classes: the key.
     pub repeat_key: Option<String>,
+    /// How long its gateway waits, counted from `ingress`, where that is told.
+    pub patience: Option<Micros>,
+    /// Whether it is marked as a further try or a second copy.
+    pub again: bool,
+    /// What a read is about, where that is told.
+    pub row: Option<u64>,
 }
 
 /// A request of which not all records have come.
@@ -118,6 +129,12 @@
     (least..below).contains(&x).then_some(x)
 }
 
+/// The subject of a read, sixteen hexadecimal digits.
+fn row(value: &[u8]) -> Option<u64> {
+    id_of(value)?;
+    u64::from_str_radix(std::str::from_utf8(value).ok()?, 16).ok()
+}
+
 fn whole(value: &[u8]) -> Option<u64> {
     std::str::from_utf8(value).ok()?.parse().ok()
 }
@@ -144,6 +161,18 @@
             b"HTTP_X_SHED_ORDER" => {
                 self.rank = Some(number(value, 0.0, 1.0).ok_or(bad("X-Shed-Order"))?);
             }
+            b"HTTP_X_TTL_MS" => {
+                let ms = number(value, 0.0, MOST_TTL).ok_or(bad("X-Ttl-Ms"))?;
+                self.patience = Some(Micros((ms * 1e3) as u64));
+            }
+            b"HTTP_X_SECOND_TRY" => {
+                self.again = match value {
+                    b"1" => true,
+                    b"0" => false,
+                    _ => return Err(bad("X-Second-Try")),
+                };
+            }
+            b"HTTP_X_ROW" => self.row = Some(row(value).ok_or(bad("X-Row"))?),
             b"HTTP_X_TXN_KEY" => {
                 let key = std::str::from_utf8(value).or(Err(bad("X-Txn-Key")))?;
                 let sound = !key.is_empty() && key.len() <= 64 && key.bytes().all(|b| b.is_ascii_graphic());
@@ -178,6 +207,9 @@
             held_kb: self.held_kb.ok_or(missing("X-Working-Set-Kb"))?,
             rank: self.rank.unwrap_or(0.0),
             repeat_key: self.repeat_key.filter(|_| needs_key),
+            patience: self.patience,
+            again: self.again,
+            row: self.row.filter(|_| !needs_key),
         })))
     }
 }
--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -598,7 +598,11 @@
             held_kb: t.held_kb,
             rank: t.rank,
             caller: t.router,
+            patience: t.patience,
+            again: t.again,
+            subject: t.row,
         };
+        let untold = self.config.tells_patience && t.patience.is_none();
         let mut verdicts = Vec::new();
         if let Err(unfit) = self.facade.pick(self.clock.moment(), arrival, &mut verdicts) {
             self.figures.turned_down(self.slots.name(t.class), End::Error);
@@ -611,10 +615,12 @@
         }
         self.figures.taken();
         self.counters.requests_read += 1;
+        self.counters.patience_untold += u64::from(untold);
         if let Some(c) = self.table.get(conn) {
             c.open.insert(fcgi, Open::Owed(t.id, keeps));
         }
-        let place = Place { id: t.id, conn, fcgi, class: t.class, body, call: Vec::new(), open: true };
+        let (id, class) = (t.id, t.class);
+        let place = Place { id, conn, fcgi, class, body, call: Vec::new(), call_notice: 0, open: true };
         self.tries.insert(t.id, place);
         self.carry_out(verdicts);
     }
@@ -767,9 +773,9 @@
                     };
                     self.report(Report::Ended(id, end));
                 }
-                Notice::IoReq(id, body) => {
+                Notice::IoReq(id, cursor, body) => {
                     if let Some(place) = self.tries.get_mut(&id) {
-                        place.call = body;
+                        (place.call, place.call_notice) = (body, cursor);
                         self.report(Report::WantsCall(id));
                     }
                 }
@@ -780,6 +786,7 @@
                     }
                     self.report(Report::Ended(id, RunEnd::NeverRan));
                 }
+                Notice::Invalid(Command::NoIo, Some(id)) => self.report(Report::CannotSkip(id)),
                 _ => {}
             }
         }
@@ -838,6 +845,12 @@
                         self.store.call(self.clock.now(), id, wait, body, &mut self.counters);
                     }
                 }
+                Verdict::SkipCall(id) => {
+                    if let Some(notice) = self.tries.get(&id).map(|place| place.call_notice) {
+                        self.kernel_of(id).no_io(id, notice);
+                        self.counters.calls_skipped += 1;
+                    }
+                }
                 Verdict::DropCall(id) => self.drop_call(id),
                 Verdict::Refuse { id, stay_away, give_up } => {
                     self.ended(id, End::Overload);
--- a/crates/record/tests/model.rs
+++ b/crates/record/tests/model.rs
@@ -159,6 +159,9 @@
                     held_kb: 20.0,
                     rank: 0.5,
                     caller: 1,
+                    patience: None,
+                    again: false,
+                    subject: None,
                 };
                 self.facade.pick(self.now, arrival, &mut out).expect("an id and a body that fit");
             }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -841,3 +841,68 @@
     }
     assert!(dropped > 0, "nothing was dropped");
 }
+
+// Guards against answers for gateways that have stopped waiting: what a try tells of that binds, not its class.
+#[test]
+fn a_try_is_answered_within_the_patience_that_it_tells_and_one_that_tells_nonsense_is_bad() {
+    let (scene, mut kernel) = Scene::up();
+    let mut gateway = scene.gateway();
+    let began = Instant::now();
+    gateway.send(&try_records(1, "quote", A, &[("HTTP_X_TTL_MS", "700"), ("HTTP_X_SECOND_TRY", "1")], b"q"));
+    kernel.expect("SCHED", A);
+    assert_eq!(served(&gateway.answer()).1, "500");
+    // The class would have it wait for 3 s.
+    assert!(began.elapsed() < Duration::from_millis(1_500), "{:?}", began.elapsed());
+    gateway.send(&try_records(1, "quote", B, &[("HTTP_X_TTL_MS", "0")], b"q"));
+    assert_eq!(served(&gateway.answer()).1, "503");
+    for (name, value) in [
+        ("HTTP_X_TTL_MS", "-1"),
+        ("HTTP_X_TTL_MS", "soon"),
+        ("HTTP_X_TTL_MS", "1e300"),
+        ("HTTP_X_TTL_MS", "NaN"),
+        ("HTTP_X_SECOND_TRY", "yes"),
+        ("HTTP_X_ROW", "7f3a"),
+    ] {
+        let mut gateway = scene.gateway();
+        gateway.send(&try_records(1, "quote", C, &[(name, value)], b"q"));
+        assert_eq!(served(&gateway.answer()).1, "400", "{name} {value}");
+    }
+}
+
+/// A scene whose quotes may do without their call, and its kernel with a run that wants one.
+fn skipping() -> (Scene, Kernel, Gateway) {
+    let scene = Scene::new(|c| c["settings"]["extra"]["class-skip-worth"] = json!([0.3, 0.0]));
+    let mut kernel = scene.link();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "quote", A, b"q");
+    kernel.expect("SCHED", A);
+    // The store listens to nobody: the call comes to nothing.
+    kernel.io_req(A, b"c");
+    (scene, kernel, gateway)
+}
+
+#[test]
+fn a_run_goes_on_without_its_call_by_the_number_of_the_notice_and_is_told_so_again_on_a_new_link() {
+    let (scene, mut kernel, mut gateway) = skipping();
+    let told = json!({"event": "NOIO", "handle": A, "cursor": 1});
+    assert_eq!(kernel.command(), told);
+    // Whether it was read cannot be known: the link breaks.
+    drop(kernel);
+    let mut kernel = scene.accept_kernel();
+    assert_eq!(kernel.command(), json!({"event": "OPEN", "cursor": 1}));
+    kernel.cursor = 1;
+    kernel.boot();
+    assert_eq!(kernel.command(), told);
+    kernel.reap(A, "good", b"poorer");
+    assert_eq!(served(&gateway.answer()), (1, "200", &b"poorer"[..]));
+}
+
+#[test]
+fn a_run_that_the_kernel_will_not_have_go_on_without_its_call_is_failed_at_once() {
+    let (_scene, mut kernel, mut gateway) = skipping();
+    kernel.expect("NOIO", A);
+    let began = Instant::now();
+    kernel.say(json!({"event": "EINVAL", "fate": "NOIO", "handle": A}), false);
+    assert_eq!(served(&gateway.answer()).1, "500");
+    assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+}
