Write an answer that took longer than a reader may stall, instead of cutting it off

At fault: Conn::is_stalled counted from when the connection was last used, and Table::tick looks before the turn's answers are written. A connection with one request that took 10 s or more, as place-order may with its deadline of 17 s, was cut off with its answer unwritten whenever the look, each 50 ms, fell into the turn of the answer.

Now a connection is stuck from the first write that leaves something unwritten, until one makes progress. The new test fails without: cut off with its answer unwritten.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -81,6 +81,8 @@
     /// When it was accepted, and when anything was last read or written.
     since: Micros,
     used: Micros,
+    /// Since when the other side has taken nothing of what waits to be written; counts from the first attempt.
+    stuck: Option<Micros>,
     /// Since when its input ends in part of a record.
     partial: Option<Micros>,
     /// A whole request that could be read has come on it.
@@ -123,6 +125,7 @@
     pub open: BTreeMap<u16, Open>,
     since: Micros,
     used: Micros,
+    stuck: Option<Micros>,
     partial: Option<Micros>,
     asked: bool,
     faults: u32,
@@ -232,7 +235,7 @@
             conn.deaf = c.deaf;
             (conn.input, conn.open, conn.used, conn.partial) = (c.input, c.open, c.used, c.partial);
             (conn.asked, conn.faults, conn.served, conn.stray) = (c.asked, c.faults, c.served, c.stray);
-            (conn.linger, conn.last) = (c.linger, c.last);
+            (conn.linger, conn.last, conn.stuck) = (c.linger, c.last, c.stuck);
             // Nothing is taken from it before the table is told to go on.
             let _ = conn.stream.watch(false, false);
         }
@@ -331,6 +334,7 @@
             open: BTreeMap::new(),
             since: now,
             used: now,
+            stuck: None,
             partial: None,
             asked: false,
             faults: 0,
@@ -501,6 +505,7 @@
             open: self.open.clone(),
             since: self.since,
             used: self.used,
+            stuck: self.stuck,
             partial: self.partial,
             asked: self.asked,
             faults: self.faults,
@@ -557,7 +562,8 @@
     }
 
     fn is_stalled(&self, now: Micros) -> bool {
-        !self.output.is_empty() && now.since(self.used) >= STALLED
+        // Not since it was last used: an answer that has been queued a moment ago may be the first in longer than that.
+        self.stuck.is_some_and(|since| now.since(since) >= STALLED)
     }
 
     /// Requests of which the rest does not come.
@@ -624,9 +630,74 @@
     }
 
     fn write(&mut self, now: Micros) -> io::Result<()> {
-        if self.output.write(&mut self.stream)? > 0 {
+        let progress = self.output.write(&mut self.stream)? > 0;
+        if progress {
             self.used = now;
         }
+        let stuck = self.stuck.filter(|_| !progress).unwrap_or(now);
+        self.stuck = Some(stuck).filter(|_| !self.output.is_empty());
         self.stream.watch(!self.deaf, !self.output.is_empty())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::io::real::Real;
+    use std::io::Read as _;
+    use std::net::TcpStream;
+
+    /// A connection with one open request, taken at the time given, and its other side.
+    fn table(now: Micros) -> (Table<Real>, ConnId, TcpStream) {
+        let system = Real::new().expect("a poller");
+        let mut table: Table<Real> = Table::new(1, 64);
+        table.listen(system.listen(SocketAddr::from(([127, 0, 0, 1], 0)), 0).expect("a port"));
+        let client = TcpStream::connect(table.address().expect("it listens")).expect("accepted");
+        let mut counters = Counters::default();
+        while table.open_count() == 0 {
+            table.accept(now, &mut counters);
+        }
+        let id = table.at_key(1).expect("the first place");
+        let conn = table.get(id).expect("it is there");
+        conn.note_asked();
+        conn.open.insert(1, Open::Owed(RequestId(1), true));
+        (table, id, client)
+    }
+
+    // Guards against an answer that ends its connection instead of going out on it: nothing had passed there for longer
+    // than a reader may stall, since its request took that long, and the look for stalled ones came before the write.
+    #[test]
+    fn an_answer_after_a_long_wait_is_written_and_does_not_count_as_stalled() {
+        let began = Micros::millis(1_000);
+        for wait in [STALLED, STALLED.plus(STALLED), Micros::millis(17_000)] {
+            let (mut table, id, mut client) = table(began);
+            let (now, mut counters) = (began.plus(wait), Counters::default());
+            table.get(id).expect("it is there").output.push(b"answer".to_vec());
+            table.touch(id);
+            let look = table.tick(now, &mut counters);
+            assert!(look.gone.is_empty(), "cut off with its answer unwritten after {wait:?}");
+            assert!(table.flush(now, &mut counters).is_empty());
+            let mut read = [0; 6];
+            client.read_exact(&mut read).expect("the answer");
+            assert_eq!((&read, counters.connections_cut), (b"answer", 0));
+        }
+    }
+
+    // Guards against a reader that never reads and is kept for ever.
+    #[test]
+    fn what_is_not_read_is_cut_off_after_its_time() {
+        let (mut table, id, _client) = table(Micros(0));
+        let (now, mut counters) = (Micros::millis(30_000), Counters::default());
+        // More than the system takes for the other side, in pieces under the bound on what waits.
+        while table.get(id).expect("it is there").output.is_empty() {
+            table.get(id).expect("it is there").output.push(vec![0; MOST_OUT - 1]);
+            table.touch(id);
+            table.flush(now, &mut counters);
+        }
+        let just_before = Micros(now.plus(STALLED).0 - 1);
+        assert!(table.tick(just_before, &mut counters).gone.is_empty());
+        table.touch(id);
+        table.flush(just_before, &mut counters);
+        assert_eq!(table.tick(now.plus(STALLED).plus(LOOK), &mut counters).gone, [RequestId(1)]);
+    }
+}
