Have a heir that cannot read the state give way, and a drain after it be one

From the code: a frame that the heir could not read broke the link (up_broke), it took the claim that the elder had let go of, and open requests ended with the elder. Now it gives way (core::succession, Unreadable), the elder takes its claim back and goes on.

Two more faults showed as that was played on the real program. part() set the time of the stop, so that begin_drain did nothing when the elder went on: no notice reached the decisions, no OUT the membership service. And a draining elder turned heirs away, so that whoever followed knew no keys and took no first try for a window. Now the drain begins, its grace counts from the notice, and a draining elder still tells of its keys, but says that it hands nothing else over, so that PING is answered no until it has ended.

The model check has a state that is spoilt on its way; the real program is played with a process between both that spoils it, and fails without the change: the old one never ends.

--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -140,8 +140,13 @@
     CannotSkip(RequestId),
     /// The caller no longer waits for this try.
     Aborted(RequestId),
-    /// The program is told to leave; it is stopped at this time.
-    Drain(Micros),
+    /// The program is told to leave.
+    Drain {
+        /// When it was told so: the grace counts from then.
+        notice: Micros,
+        /// When it is stopped.
+        stop: Micros,
+    },
     /// The gauges that were asked for.
     Gauged(Gauges),
 }
@@ -252,7 +257,8 @@
     linked: bool,
     capacity: Option<f64>,
     good: bool,
-    drain: Option<Micros>,
+    /// After the notice to leave: the last arrival that may run, and the end.
+    drain: Option<(Micros, Micros)>,
     pending: Vec<Event>,
 }
 
@@ -406,6 +412,12 @@
                 return Ok(());
             }
             Some(Found::Prior(id)) => Some(id),
+            // The grace was over as it came.
+            Some(Found::Nothing) | None if self.is_past(ingress.mono) => {
+                let stay_away = self.settings.max_stay_away.unwrap_or_default().into();
+                self.turn_back(a.id, stay_away, out);
+                return Ok(());
+            }
             // The class takes no requests any more: this one never runs.
             Some(Found::Nothing) | None if !self.open.get(class).copied().unwrap_or(false) => {
                 self.turn_back(a.id, Micros(0), out);
@@ -436,6 +448,12 @@
         Ok(())
     }
 
+    /// Whether the grace after the notice to leave was over at that time. The controller counts it from when it heard of
+    /// the notice.
+    fn is_past(&self, reached: Micros) -> bool {
+        self.drain.is_some_and(|(last, _)| reached > last)
+    }
+
     /// Refuses a try of which the controller never hears.
     fn turn_back(&mut self, id: RequestId, stay_away: Micros, out: &mut Vec<Verdict>) {
         out.push(Verdict::Refuse { id, stay_away, give_up: false });
@@ -459,8 +477,8 @@
                 self.fail(now, id, out);
             }
             Report::Aborted(id) => self.aborted(now, id, out),
-            Report::Drain(stop) => {
-                self.drain = Some(stop);
+            Report::Drain { notice, stop } => {
+                self.drain = Some((notice.plus(self.settings.drain_grace.into()), stop));
                 self.pending.push(Event::Drain(stop.time()));
             }
             Report::Gauged(gauges) => self.elapse(gauges),
@@ -508,7 +526,7 @@
         let mut actions = Vec::new();
         controller.step(Micros(now.mono.0.saturating_sub(age.0)).time(), &[], &mut actions);
         self.controller = Some(controller);
-        if let Some(stop) = self.drain {
+        if let Some((_, stop)) = self.drain {
             self.pending.push(Event::Drain(stop.time()));
         }
         self.carry_out(now, actions, out);
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -54,6 +54,8 @@
     Linked,
     /// The link to the other process is gone.
     Unlinked,
+    /// What the elder says cannot be read here: it is another program, or its bytes were spoilt.
+    Unreadable,
     /// The other one says that it took over.
     Taken,
     /// The elder says that all keys were sent.
@@ -190,6 +192,8 @@
             }
             (Role::Retired, Event::Unlinked) => (Role::Retired, vec![Step::End]),
             (Role::Heir { .. }, Event::Synced) => (Role::Heir { synced: true }, vec![]),
+            // Gives way: the claim that the elder let go of is for the elder to take back, which knows all.
+            (Role::Heir { .. }, Event::Unreadable) => (Role::Heir { synced: false }, vec![Step::Seek]),
             (Role::Heir { .. }, Event::Over) => (Role::Taking, vec![Step::Claim]),
             (Role::Taking, Event::Claimed(true)) => (Role::Alone, vec![Step::TakeOver]),
             // What ran since is not known here.
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -52,6 +52,10 @@
     Kill(usize),
     /// A try of the key comes to a process.
     Try(usize),
+    /// What the elder says at its end cannot be read by the heir.
+    Garble,
+    /// The heir, which has no link, looks for the elder and finds nobody.
+    Look,
     /// Time passes, and each process looks.
     Pass,
 }
@@ -174,6 +178,12 @@
         if elder == Some(Role::Elder) || elder == Some(Role::Alone) && !s.drains {
             acts.push(Act::Leave);
         }
+        if s.linked[HEIR] && s.is(HEIR, Role::Heir { synced: true }) && !s.inbox[HEIR].is_empty() {
+            acts.push(Act::Garble);
+        }
+        if !s.linked[HEIR] && s.machines[ELDER].is_none() && s.is(HEIR, Role::Heir { synced: false }) {
+            acts.push(Act::Look);
+        }
         if s.now < 6 {
             acts.push(Act::Pass);
         }
@@ -202,6 +212,11 @@
                 s.unlink(who);
                 s.happen(who, Event::Unlinked);
             }
+            Act::Garble => {
+                s.inbox[HEIR].clear();
+                s.happen(HEIR, Event::Unreadable);
+            }
+            Act::Look => s.happen(HEIR, Event::Unlinked),
             Act::Leave => s.happen(ELDER, Event::Leave),
             Act::Kill(who) => s.die(who),
             Act::Try(who) => {
@@ -237,6 +252,9 @@
             Property::sometimes("the elder goes on as its heir dies", |_, s: &State| {
                 s.is(ELDER, Role::Alone) && s.drains && s.machines[HEIR].is_none()
             }),
+            Property::sometimes("the elder goes on as its heir gives way", |_, s: &State| {
+                s.is(ELDER, Role::Alone) && s.drains && s.is(HEIR, Role::Heir { synced: false })
+            }),
             Property::sometimes("the heir serves as the elder dies", |_, s: &State| {
                 s.is(HEIR, Role::Alone) && s.machines[ELDER].is_none() && s.runs == 1 && s.knows[HEIR]
             }),
--- a/crates/node/src/kin.rs
+++ b/crates/node/src/kin.rs
@@ -33,6 +33,8 @@
         moment: Moment,
         /// What bodies' fingerprints are made with.
         secret: [u8; 32],
+        /// It drains already: it will hand nothing over but keys.
+        leaving: bool,
     },
     /// Keys as they are now.
     Keys(Vec<Copy>),
--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -112,6 +112,8 @@
     reload: S::Signals,
     /// After the notice to leave: when the process is stopped.
     stop: Option<Micros>,
+    /// It drains.
+    leaving: bool,
 }
 
 /// The earliest of these, or the longest wait. Nothing is looked at again at once: what is overdue then waits for
@@ -169,6 +171,7 @@
             print: system.signals(PRINT, &[SIGUSR1]).map_err(io_error("signals"))?,
             reload: system.signals(RELOAD, &[SIGHUP]).map_err(io_error("signals"))?,
             stop: None,
+            leaving: false,
             config,
             system,
             table,
@@ -325,7 +328,10 @@
             key if (INHERITED..FIRST_CALLER).contains(&key) => self.take_inherited(event),
             LEAVE => {
                 self.drain_signal(LEAVE);
-                self.happen(succession::Event::Leave);
+                // Said again in a drain it says nothing new: above all it hands nothing over.
+                if !self.leaving {
+                    self.happen(succession::Event::Leave);
+                }
             }
             PRINT => {
                 self.drain_signal(PRINT);
@@ -370,12 +376,15 @@
     }
 
     fn begin_drain(&mut self) {
-        if self.stop.is_none() {
-            let stop = self.clock.now().plus(self.config.stop);
-            self.stop = Some(stop);
-            // All is answered some time before the end, so that it is also written by then.
-            self.report(Report::Drain(Micros(stop.0.saturating_sub(STOP_LISTENING.0))));
+        if mem::replace(&mut self.leaving, true) {
+            return;
         }
+        // The notice may have come a while ago, if another process was to take over and did not.
+        let stop = *self.stop.get_or_insert(self.clock.now().plus(self.config.stop));
+        let notice = Micros(stop.0.saturating_sub(self.config.stop.0));
+        // All is answered some time before the end, so that it is also written by then.
+        let by = Micros(stop.0.saturating_sub(STOP_LISTENING.0));
+        self.report(Report::Drain { notice, stop: by });
     }
 
     /// A new configuration takes effect whole, or the old one stays.
--- a/crates/node/src/turn/succeed.rs
+++ b/crates/node/src/turn/succeed.rs
@@ -14,6 +14,8 @@
 const HELD_UP: Micros = Micros::millis(200);
 /// Time between two looks for another process.
 const LOOK: Micros = Micros::millis(20);
+/// The same after what the other one said could not be read: it has to take its claim back, and says the same again.
+const GIVE_WAY: Micros = Micros::millis(1_000);
 /// How long a process looks for the one that holds the claim, or for the address to be free, before it gives up.
 const PATIENCE: Micros = Micros::millis(3_000);
 /// Most kernels of processes before this one that are still listened to.
@@ -45,6 +47,8 @@
     down: Option<Wire<S>>,
     /// The elder's listening socket.
     spare: Option<S::Listener>,
+    /// The elder drains: it hands nothing over but keys, and this process follows once it has ended.
+    behind_drain: bool,
     /// What the elder has sent at its end, and its connections' names there and here.
     conns: BTreeMap<ConnId, ConnId>,
     places: Vec<kin::Place>,
@@ -87,6 +91,7 @@
             up: None,
             down: None,
             spare: None,
+            behind_drain: false,
             conns: BTreeMap::new(),
             places: Vec::new(),
             rest: None,
@@ -165,7 +170,8 @@
 
     /// Whether all that this process needs from the elder before it goes is here.
     pub(super) fn is_ready(&self) -> bool {
-        self.machine.role() == Role::Heir { synced: true } && self.spare.is_some() && self.booted.is_some()
+        let keys = self.machine.role() == Role::Heir { synced: true };
+        keys && self.spare.is_some() && self.booted.is_some() && !self.behind_drain
     }
 
     /// The address that the elder listens at.
@@ -257,7 +263,7 @@
             let Some(door) = &self.kin.door else { return };
             let free = self.kin.down.is_none();
             let Ok(kin) = door.accept(if free { DOWN } else { TURNED_AWAY }) else { return };
-            if free && self.kin.machine.role() == Role::Alone && self.stop.is_none() {
+            if free && self.kin.machine.role() == Role::Alone {
                 self.kin.down = Some(Wire::new(kin));
                 self.happen(Event::Linked);
             }
@@ -271,7 +277,7 @@
         register.mirror(true);
         let secret = register.secret();
         if let Some(wire) = &mut self.kin.down {
-            wire.say(&Frame::Hello { moment, secret }, With::Listener);
+            wire.say(&Frame::Hello { moment, secret, leaving: self.leaving }, With::Listener);
         }
         // Both processes' descriptors count.
         self.table.lend(SECOND + admin::SOCKETS + store::lanes_within(self.config.sockets));
@@ -481,7 +487,10 @@
         if !self.kin.machine.is_heir() {
             return;
         }
-        if self.kin.spare.is_some() {
+        if matches!(broken, Broken::Framing(_)) {
+            self.happen(Event::Unreadable);
+            self.kin.next_look = self.clock.now().plus(GIVE_WAY);
+        } else if self.kin.spare.is_some() {
             self.happen(Event::Unlinked);
         } else {
             // It was turned away: another process takes over at this moment.
@@ -493,7 +502,8 @@
         let waits = matches!(self.kin.machine.role(), Role::Heir { .. });
         let Some(wire) = &mut self.kin.up else { return Ok(()) };
         match frame {
-            Frame::Hello { moment, secret } if waits => {
+            Frame::Hello { moment, secret, leaving } if waits => {
+                self.kin.behind_drain = leaving;
                 self.kin.spare = Some(wire.take_listener(LISTENER)?);
                 self.system.align(moment);
                 self.clock.read(&self.system);
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -2,6 +2,7 @@
 
 mod peers;
 
+use peers::spoiler::Spoiler;
 use peers::*;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -131,6 +132,37 @@
     assert_eq!(book(7, 3, "three").0, "500");
 }
 
+// Guards against a new program that takes the node over though it cannot read what the old one had under way.
+#[test]
+fn a_process_that_cannot_read_the_state_gives_way_and_follows_once_the_old_one_has_ended() {
+    let mut scene = Scene::shared();
+    let mut kernel = scene.link();
+    scene.await_good();
+    let mut gateway = scene.gateway();
+    gateway.send(&try_records(1, "booking", &txn(1), &[("HTTP_X_TXN_KEY", &key(1))], b"one"));
+    kernel.expect("SCHED", &txn(1));
+    kernel.reap(&txn(1), "good", b"first");
+    assert_eq!(gateway.answer().body, b"first");
+    gateway.request(2, "quote", &txn(2), b"q");
+    kernel.expect("SCHED", &txn(2));
+    let between = Spoiler::between(scene.folder());
+    let next = scene.successor_in(Some(between.folder()));
+    let _second = link(&next.kernel, 0);
+    next.await_yes();
+    scene.signal("-TERM");
+    // The old one goes on with its kernel, and with what is open.
+    let mut kernel = link(&scene.kernel, 1);
+    kernel.cursor = 1;
+    kernel.reap(&txn(2), "good", b"r");
+    let answer = gateway.answer();
+    assert_eq!((answer.id, &answer.body[..]), (2, &b"r"[..]));
+    assert!(scene.ended_well());
+    next.await_yes();
+    let mut gateway = Gateway::to(&scene.address);
+    let again = gateway.book(&txn(3), &key(1), "one").expect("an answer");
+    assert_eq!(again, ("200".into(), b"first".to_vec()));
+}
+
 // Guards against one of a row of processes that takes over from the wrong one, and a chain of runs that gets lost.
 #[test]
 fn a_third_process_follows_while_the_first_still_has_runs() {
