Keep results within half of the process's memory where there is no store of record

From the code: without a store the table of keys had no bound but the module's count of entries, which follows key-kb, a figure of the kernel's memory and not of this process. At a site with small entries and a window of 52 s results of 4 KiB could fill 32 MB. The bound counts bytes (limits.memory_mb, half of it); beyond it a first try of a key is refused at once, with when the next window ends; what is known is still answered. SIGHUP changes it. The new test fails without: nothing is ever turned away.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -13,6 +13,8 @@
 
 /// Fewest descriptors with which anything can be served: the node's own and a few connections.
 const LEAST_SOCKETS: usize = 32;
+/// Share of the process's memory that keys and their results may take; the rest is for what is open.
+const KEPT_SHARE: f64 = 0.5;
 /// Settings beyond this are absurd: cores, classes, requests.
 const MOST: f64 = 1e6;
 /// Lengths of time beyond this are absurd: a million seconds, in nanoseconds.
@@ -39,6 +41,8 @@
     pub stop: Micros,
     /// Descriptors it may hold.
     pub sockets: usize,
+    /// Bytes that keys and results may take without a store of record: half of the process's memory, where that is told.
+    pub most_kept: usize,
     /// Names of the classes, by index.
     pub classes: Vec<String>,
     /// Which of them are keyed.
@@ -98,6 +102,7 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    memory_mb: Option<f64>,
 }
 
 /// The settings, under the names and in the units of the simulator's first message.
@@ -336,6 +341,11 @@
     if sockets < LEAST_SOCKETS {
         return wrong("limits.sockets", &format!("must be at least {LEAST_SOCKETS}"));
     }
+    let most_kept = match file.limits.memory_mb {
+        None => usize::MAX,
+        Some(mb) if (1.0..=MOST).contains(&mb) => (mb * KEPT_SHARE * 1024.0 * 1024.0) as usize,
+        Some(_) => return wrong("limits.memory_mb", "is out of range"),
+    };
     if file.stop_ms == 0 {
         return wrong("stop_ms", "must be above 0");
     }
@@ -357,6 +367,7 @@
         seed,
         stop: Micros::millis(file.stop_ms),
         sockets,
+        most_kept,
         keyed: settings.classes.iter().map(|c| c.effect == Effect::Keyed).collect(),
         classes: told.classes.into_iter().map(|c| c.name).collect(),
         gauges: told.extra.gauges,
--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -135,8 +135,9 @@
         // The store is read before anybody can connect.
         let who = (config.name.as_str(), config.seed, longest_window(&config));
         let stored = config.operators.record.as_ref();
-        let (record, ledger) =
+        let (record, mut ledger) =
             Keeper::start(stored, who, RECORD, &system, clock.moment()).map_err(NodeError::Record)?;
+        ledger.set_most(config.most_kept);
         let others = lanes
             + if ledger.is_durable() { record::SOCKETS } else { 0 }
             + if config.admin.is_some() { admin::SOCKETS } else { 0 };
@@ -430,6 +431,7 @@
 
     /// What of the operators' settings can change while the node serves; none of it can fail.
     fn take_operators(&mut self, new: &Config) {
+        self.facade.register().set_most(new.most_kept);
         let Some(stored) = &new.operators.record else { return };
         if let Backend::Postgres { password_file, .. } = &stored.backend
             && let Ok(password) = record::password(password_file)
--- a/crates/record/src/ledger.rs
+++ b/crates/record/src/ledger.rs
@@ -233,9 +233,14 @@
     closed_until: Option<Micros>,
     settled: Vec<Settled>,
     durable: Option<Durable>,
+    /// Most bytes that the table takes where there is no store.
+    most: usize,
     figures: Figures,
 }
 
+/// The longest result that the protocol knows, in bytes.
+const LONGEST_RESULT: usize = 4096;
+
 impl Ledger {
     /// A ledger that forgets with the process, as a node without a store of record has it.
     pub fn volatile() -> Self {
@@ -248,6 +253,7 @@
             closed_until: None,
             settled: Vec::new(),
             durable: None,
+            most: usize::MAX,
             figures: Figures::default(),
         }
     }
@@ -275,6 +281,12 @@
         Ledger { durable: Some(durable), ..Ledger::volatile() }
     }
 
+    /// Without a store: first tries of keys are taken while the table, with one more result of the longest kind, takes
+    /// so many bytes at most. Guards the process's memory where a window holds more results than fit in it.
+    pub fn set_most(&mut self, bytes: usize) {
+        self.most = bytes;
+    }
+
     /// Other bounds from now on; what is over them already stays.
     pub fn set_limits(&mut self, limits: Limits) {
         if let Some(d) = &mut self.durable {
@@ -518,7 +530,11 @@
     /// How long those should stay away that cannot be taken now.
     fn advice(&self, now: Micros) -> Micros {
         let least = Micros::millis(200);
-        let Some(d) = &self.durable else { return least };
+        let Some(d) = &self.durable else {
+            // There is room when the next window is over.
+            let next = self.expiry.front().map_or(Micros(0), |(t, _)| t.since(now));
+            return next.max(least);
+        };
         let shut = d.shut_until.map_or(Micros(0), |t| t.since(now));
         let probe =
             if d.breaker == Breaker::Closed { Micros(0) } else { d.not_before.since(now).max(PROBE.0) };
@@ -526,8 +542,8 @@
     }
 
     fn room_for(&self, key: &str) -> bool {
-        let Some(d) = &self.durable else { return true };
         let more = key.len() + ENTRY_BYTES;
+        let Some(d) = &self.durable else { return self.figures.bytes + more + LONGEST_RESULT <= self.most };
         let open = d.breaker != Breaker::Closed || !d.loaded || d.shut_until.is_some();
         !open
             && self.keys.len() + d.removals.len() < d.limits.entries
--- a/crates/record/tests/ledger.rs
+++ b/crates/record/tests/ledger.rs
@@ -331,3 +331,38 @@
     book.pass(1);
     assert_eq!(book.settled().len(), 1);
 }
+
+// Guards against a process that outgrows its memory where a window holds more results than fit: results count by their
+// bytes, and what is known already is still answered.
+#[test]
+fn without_a_store_results_are_kept_within_their_bytes_for_a_window_longer_than_the_room_lasts() {
+    let mut book = Book { ledger: Ledger::volatile(), now: start() };
+    book.ledger.set_most(64 << 10);
+    let book_one = |book: &mut Book, n: u128, len: usize| {
+        let key = format!("k{n}");
+        match book.find(&key, book.now) {
+            Found::Closed(advice) => return Some(advice),
+            found => assert_eq!(found, Found::Nothing),
+        }
+        assert_eq!(book.begin(&key, n), Begin::Go);
+        book.end(&key, n, &vec![7; len]);
+        None
+    };
+    let (mut long, mut short) = (0, 1_000);
+    while book_one(&mut book, long, 4096).is_none() {
+        long += 1;
+        book.pass(10);
+    }
+    assert!((8..16).contains(&long), "{long} results of 4 KiB in 64 KiB");
+    assert!(book.ledger.figures().bytes <= 64 << 10);
+    // What has run is still known, and the advice says when there is room again: with the end of the first window.
+    assert_eq!(book.find("k0", book.now), Found::Prior(id(0)));
+    let advice = book_one(&mut book, 500, 1).expect("no room");
+    assert!(advice > Micros::millis(20_000), "{advice:?}");
+    book.pass(advice.0 / 1000 + 5_000);
+    book.settled();
+    while book_one(&mut book, short, 16).is_none() {
+        short += 1;
+    }
+    assert!(short - 1_000 > 2 * long, "short results take less: {}", short - 1_000);
+}
