--- a/crates/lab/src/checkers/mod.rs
+++ b/crates/lab/src/checkers/mod.rs
@@ -105,6 +105,16 @@
         }
     }
 
+    /// The node has closed the connection of this try: it may, unless an answer was owed on it. One that was on its way
+    /// is sent again by its gateway.
+    pub fn closed(&mut self, now: Micros, id: &str) {
+        let owed = self.tries.get(id).is_some_and(|t| !t.excused && t.answers == 0);
+        if owed && self.tries.get(id).is_some_and(|t| now > t.ingress.plus(CROSSING)) {
+            self.broken("lost", now, format!("the connection of {id} was closed, which had no answer"));
+        }
+        self.excuse(id);
+    }
+
     /// The process is gone with all that it had.
     pub fn killed(&mut self) {
         let owed: Vec<String> = self.owed.keys().map(|(_, id)| id.clone()).collect();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod checkers;
 pub mod net;
+pub mod site;
 pub mod standins;
 pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -55,6 +55,7 @@
     for v in &outcome.violations {
         println!("seed {}: rule '{}' broken at {} us: {}", outcome.seed, v.rule, v.at.0, v.seen);
     }
+    println!("  site: {}", outcome.site);
     for (at, fault) in &outcome.plan {
         println!("  {:>10} us  {fault:?}", at.0);
     }
--- /dev/null
+++ b/crates/lab/src/site.rs
@@ -0,0 +1,189 @@
+//! Sites of no operator: what a site may tell, allow or leave out, drawn by seed, so that no rule of the node depends on
+//! the form of one.
+
+use crate::net::Dice;
+use gaugestand_core::facade::Micros;
+use serde_json::{Value, json};
+use std::fmt;
+
+/// Cores of every node.
+pub const CORES: f64 = 4.0;
+/// Share of the cores that is asked for outside bursts.
+const LOAD: f64 = 0.55;
+/// Requests a second, at least and at most.
+const RATE: (f64, f64) = (1.5, 60.0);
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Its name.
+    pub name: String,
+    /// Its requests run once in their window.
+    pub keyed: bool,
+    /// Share of the requests.
+    pub share: f64,
+    /// Mean work on one core.
+    pub work: Micros,
+    /// When an answer is wanted, and when clients give up.
+    pub aim: Micros,
+    /// The latter.
+    pub deadline: Micros,
+    /// Its runs make a call.
+    pub calls: bool,
+    /// What an answer without that call still earns; 0 where that is not allowed.
+    pub skip_worth: f64,
+    /// What a late answer earns.
+    pub late_worth: f64,
+    /// What a request is worth.
+    pub worth: f64,
+}
+
+/// A site.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// Its classes, one to eight.
+    pub kinds: Vec<Kind>,
+    /// Requests tell how long their caller waits.
+    pub patience: bool,
+    /// Further tries are marked.
+    pub marks: bool,
+    /// Requests tell what work to expect.
+    pub hints: bool,
+    /// Reads tell what they are about.
+    pub rows: bool,
+    /// There is a tier below.
+    pub below: bool,
+    /// Refusals may say when to come back.
+    pub advice: bool,
+    /// What stopping a run does: `discard`, `freeze`, or `silent` where it cannot be done.
+    pub halt: &'static str,
+    /// What the free value means.
+    pub signal: &'static str,
+    /// How long a key may come again.
+    pub window: Micros,
+    /// After the notice to leave.
+    pub grace: Micros,
+    /// Requests a second.
+    pub rate: f64,
+}
+
+impl Site {
+    /// The site of a seed.
+    pub fn draw(seed: u64) -> Self {
+        let mut dice = Dice::new(seed, 4);
+        let pick = |dice: &mut Dice, words: &[&'static str]| words[dice.below(words.len() as u64) as usize];
+        let below = dice.chance(0.8);
+        // Many sites have few classes, and some none that is keyed.
+        let n = 1 + (dice.share().powi(2) * 8.0) as usize;
+        let keyed = [0.0, 0.4, 0.4, 1.0][dice.below(4) as usize];
+        // At some, one class takes so long that nothing passes on its connection meanwhile.
+        let slow = dice.chance(0.3).then(|| dice.below(n as u64) as usize);
+        let kinds: Vec<Kind> = (0..n)
+            .map(|i| {
+                let deadline =
+                    if slow == Some(i) { 17_000 } else { [2_000, 4_000, 9_000][dice.below(3) as usize] };
+                let aim = deadline * (3 + dice.below(5)) / 10;
+                let work =
+                    if slow == Some(i) { 5_000 + dice.below(4_000) } else { 10 + dice.below(deadline / 40) };
+                let skips = dice.chance(0.5);
+                Kind {
+                    name: format!("kind-{i}"),
+                    keyed: dice.chance(keyed),
+                    share: 0.2 + dice.share(),
+                    work: Micros::millis(work),
+                    aim: Micros::millis(aim),
+                    deadline: Micros::millis(deadline),
+                    calls: below && dice.chance(0.7),
+                    skip_worth: if skips { 0.3 } else { 0.0 },
+                    late_worth: if dice.chance(0.5) { 0.2 } else { 0.0 },
+                    worth: 1.0 + dice.below(5) as f64,
+                }
+            })
+            .collect();
+        let shares: f64 = kinds.iter().map(|k| k.share).sum();
+        let work: f64 = kinds.iter().map(|k| k.share / shares * k.work.0 as f64 / 1e6).sum();
+        Site {
+            kinds,
+            patience: dice.chance(0.5),
+            marks: dice.chance(0.5),
+            hints: dice.chance(0.5),
+            rows: dice.chance(0.5),
+            below,
+            advice: dice.chance(0.8),
+            halt: pick(&mut dice, &["discard", "discard", "freeze", "silent"]),
+            signal: pick(&mut dice, &["allowance", "allowance", "floor", "weight", "silent"]),
+            window: Micros::millis(5_000 + dice.below(8_000)),
+            grace: Micros::millis(300 + dice.below(2_200)),
+            rate: (CORES * LOAD / work).clamp(RATE.0, RATE.1),
+        }
+    }
+
+    /// The class of the next request.
+    pub fn pick(&self, dice: &mut Dice) -> usize {
+        let mut at = dice.share() * self.kinds.iter().map(|k| k.share).sum::<f64>();
+        let found = self.kinds.iter().position(|k| {
+            at -= k.share;
+            at < 0.0
+        });
+        found.unwrap_or(0)
+    }
+
+    /// The longest deadline.
+    pub fn longest(&self) -> Micros {
+        self.kinds.iter().map(|k| k.deadline).max().unwrap_or_default()
+    }
+
+    /// The settings as a node is told them.
+    pub fn settings(&self, callers: u64) -> Value {
+        let ns = |t: Micros| t.0 * 1000;
+        let classes: Vec<Value> = self
+            .kinds
+            .iter()
+            .map(|k| {
+                json!({"name": k.name, "effect": if k.keyed { "token" } else { "pure" }, "goal-time": ns(k.aim),
+                    "hard-limit": ns(k.deadline), "dedup-window": ns(self.window), "worth": k.worth,
+                    "late-worth": k.late_worth})
+            })
+            .collect();
+        let of = |f: fn(&Kind) -> Value| self.kinds.iter().map(f).collect::<Vec<_>>();
+        json!({"classes": classes, "fleet-size": 1, "worth-by": "work", "over-share-worth": 0.1, "realms": [],
+            "tick": 2_000_000, "clients": {"marks-retry": self.marks},
+            "caps": {"retry-after": self.advice, "max-retry-after": 1_000_000_000u64},
+            "extra": {"below": if self.below { "tier" } else { "silent" }, "callers": callers, "calls-out": 0.0,
+                "class-calls": of(|k| json!(k.calls)), "class-skip-worth": of(|k| json!(k.skip_worth)),
+                "cold": false, "cores": CORES, "dep-window": 5_000_000_000u64, "fresh-for": 0,
+                "full-checks": true, "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"],
+                "halt": self.halt, "heeded": 1_000_000_000, "heap-kb": 70000.0, "key-kb": 10.0,
+                "list-follows": true, "run-factor": 8.0, "signal": self.signal, "stays-for": 200_000_000,
+                "caller-idle": 30_000_000_000u64, "passes-deadline": self.patience},
+            "rules": {"grace-to-answer": 80_000_000, "cold-share": 0.3, "cold": 18_000_000_000u64,
+                "drain-grace": ns(self.grace), "fall": 2_000_000_000, "fall-multiple": 5.0}})
+    }
+}
+
+impl fmt::Display for Site {
+    /// One line: what sets it apart.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let keyed = self.kinds.iter().filter(|k| k.keyed).count();
+        let skips = self.kinds.iter().filter(|k| k.calls && k.skip_worth > 0.0).count();
+        let told = [
+            (self.patience, "patience"),
+            (self.marks, "marks"),
+            (self.hints, "hints"),
+            (self.rows, "rows"),
+            (self.below, "a tier below"),
+            (self.advice, "advice"),
+        ];
+        let told: Vec<&str> = told.into_iter().filter(|t| t.0).map(|t| t.1).collect();
+        let (n, longest) = (self.kinds.len(), self.longest().0 / 1000);
+        write!(f, "{n} classes, {keyed} keyed, {skips} may skip calls, deadlines to {longest} ms, ")?;
+        write!(
+            f,
+            "halt {}, signal {}, {:.0} requests/s; {}",
+            self.halt,
+            self.signal,
+            self.rate,
+            told.join(", ")
+        )
+    }
+}
--- a/crates/lab/src/standins/kernel.rs
+++ b/crates/lab/src/standins/kernel.rs
@@ -20,6 +20,10 @@
     pub body: Vec<u8>,
     /// Its work on one core of speed 1.
     pub work: Micros,
+    /// It calls half way through.
+    pub calls: bool,
+    /// It may go on without that call.
+    pub skips: bool,
 }
 
 #[derive(Debug)]
@@ -28,6 +32,9 @@
     left: f64,
     call_at: Option<f64>,
     waits: bool,
+    /// The notice that asked for its call.
+    call: u64,
+    skips: bool,
     began: Micros,
 }
 
@@ -40,6 +47,8 @@
     Result(String, Vec<u8>),
     /// A command with another class or body than the request came with.
     Changed(String),
+    /// A command that the site does not allow.
+    Barred(String),
 }
 
 /// The kernel of one node.
@@ -52,6 +61,10 @@
     cold_for: Micros,
     cold_share: f64,
     cold: bool,
+    /// Runs can be stopped.
+    pub halts: bool,
+    /// Runs that went on without their call.
+    pub skipped: u64,
     cursor: u64,
     kept: VecDeque<(u64, String)>,
     runs: BTreeMap<String, Run>,
@@ -78,6 +91,8 @@
             cold_for: Micros::millis(18_000),
             cold_share: 0.3,
             cold,
+            halts: true,
+            skipped: 0,
             cursor: 0,
             kept: VecDeque::new(),
             runs: BTreeMap::new(),
@@ -143,6 +158,10 @@
         for id in called {
             let arg = STANDARD.encode(format!("call of {id}"));
             self.notice(json!({"event": "IOREQ", "handle": id, "arg": arg}));
+            let cursor = self.cursor;
+            if let Some(run) = self.runs.get_mut(&id) {
+                run.call = cursor;
+            }
         }
         for (id, began) in over {
             self.runs.remove(&id);
@@ -234,6 +253,18 @@
                     run.waits = false;
                 }
             }
+            Some("NOIO") => {
+                let Some(run) = self.runs.get_mut(&id) else { return };
+                if !run.skips {
+                    self.seen.push(Seen::Barred(format!("{id} had to go on without its call")));
+                } else if run.waits && command["cursor"] == run.call {
+                    run.waits = false;
+                    self.skipped += 1;
+                }
+            }
+            Some("PREEMPT") if !self.halts => {
+                self.seen.push(Seen::Barred(format!("{id} had to stop")));
+            }
             Some("PREEMPT") if self.runs.remove(&id).is_some() => {
                 self.notice(json!({"event": "REAP", "handle": id, "fate": "cut", "lasted": 1}));
             }
@@ -254,7 +285,9 @@
             return;
         }
         let left = known.work.0 as f64;
-        self.runs.insert(id.clone(), Run { left, call_at: Some(left * CALL_AT), waits: false, began: now });
+        let call_at = known.calls.then_some(left * CALL_AT);
+        let run = Run { left, call_at, waits: false, call: 0, skips: known.skips, began: now };
+        self.runs.insert(id.clone(), run);
         self.seen.push(Seen::Began(id));
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -3,6 +3,7 @@
 
 use crate::checkers::{Rules, Violation};
 use crate::net::{Dice, Net, Side, Virtual};
+use crate::site::{CORES, Site};
 use crate::standins::fares;
 use crate::standins::fastcgi::{self, Reader};
 use crate::standins::kernel::{Kernel, Known, Seen};
@@ -20,10 +21,6 @@
 const GATEWAYS: u64 = 3;
 /// From the notice to leave to the end.
 const STOP: Micros = Micros::millis(4_000);
-/// Deadline of every class, window of keys, grace of a drain: short, so that a world of half a minute sees them end.
-const DEADLINE: Micros = Micros::millis(4_000);
-const WINDOW: Micros = Micros::millis(9_000);
-const GRACE: Micros = Micros::millis(600);
 /// Turns at one moment after which the node is held to be turning without end.
 const MOST_TURNS: u32 = 1_000;
 
@@ -104,6 +101,9 @@
     body: Vec<u8>,
     work: Micros,
     tries_left: u32,
+    /// When its client gives up, from the first try on; none before that.
+    until: Option<Micros>,
+    row: String,
 }
 
 #[derive(Debug)]
@@ -134,6 +134,10 @@
     pub failed: u64,
     /// Its faults.
     pub plan: Vec<(Micros, Fault)>,
+    /// Its site, in a line.
+    pub site: String,
+    /// Runs that went on without their call.
+    pub skipped: u64,
     /// What happened, in words, if that was asked for.
     pub trace: Vec<String>,
 }
@@ -154,6 +158,8 @@
     rules: Rules,
     dice: Dice,
     plan: Vec<(Micros, Fault)>,
+    site: Site,
+    skipped: u64,
     rate: f64,
     begin: Micros,
     end: Micros,
@@ -170,22 +176,25 @@
         let net = Net::new(seed);
         let now = net.borrow().moment().mono;
         let plan = plan(seed, length);
+        let site = Site::draw(seed);
         let mut world = World {
             net,
             node: None,
             life: 0,
             wake: now,
-            kernel: Kernel::new(now, 4.0, false),
+            kernel: Kernel::new(now, CORES, false),
             kernel_side: None,
             fares: BTreeMap::new(),
             conns: BTreeMap::new(),
             tries: BTreeMap::new(),
             events: BTreeMap::new(),
             serial: 0,
-            rules: Rules::new(WINDOW, GRACE),
+            rules: Rules::new(site.window, site.grace),
             dice: Dice::new(seed, 3),
             plan,
-            rate: 30.0,
+            rate: site.rate,
+            site,
+            skipped: 0,
             begin: now,
             end: now.plus(length),
             next_id: 1,
@@ -196,6 +205,7 @@
         };
         world.net.borrow_mut().listen(address(6100));
         world.net.borrow_mut().listen(address(9042));
+        world.kernel.halts = world.site.halt != "silent";
         world.start(seed);
         for i in (0..world.plan.len()).filter(|i| !skip.contains(i)) {
             let at = world.begin.plus(world.plan[i].0);
@@ -221,34 +231,22 @@
         }
     }
 
-    fn configuration(seed: u64) -> String {
-        let ns = |t: Micros| t.0 * 1000;
-        let class = |name: &str, effect: &str| {
-            json!({"name": name, "effect": effect, "goal-time": ns(Micros::millis(2_500)), "hard-limit": ns(DEADLINE),
-                "dedup-window": ns(WINDOW), "worth": 1.0, "late-worth": 0.2})
-        };
-        json!({"name": "n1", "listen": address(6565).to_string(), "kernel": address(6100).to_string(),
-            "store": address(9042).to_string(), "members": address(7946).to_string(), "seed": format!("{seed:x}"),
-            "stop_ms": STOP.0 / 1000, "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 384},
-            "settings": {"classes": [class("quote", "pure"), class("booking", "token")], "fleet-size": 1,
-                "worth-by": "work", "over-share-worth": 0.1, "realms": [], "tick": 2_000_000,
-                "caps": {"retry-after": true, "max-retry-after": 1_000_000_000u64},
-                "extra": {"below": "tier", "callers": GATEWAYS, "calls-out": 0.0, "class-calls": [true, true],
-                    "class-skip-worth": [0.0, 0.0], "cold": false, "cores": 4, "dep-window": 5_000_000_000u64,
-                    "fresh-for": 0, "full-checks": true, "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"],
-                    "halt": "discard", "heeded": 1_000_000_000, "heap-kb": 70000.0, "key-kb": 10.0,
-                    "list-follows": true, "run-factor": 8.0, "signal": "allowance", "stays-for": 200_000_000,
-                    "caller-idle": 30_000_000_000u64},
-                "rules": {"grace-to-answer": 80_000_000, "cold-share": 0.3, "cold": 18_000_000_000u64,
-                    "drain-grace": ns(GRACE), "fall": 2_000_000_000, "fall-multiple": 5.0}}})
-        .to_string()
+    fn configuration(&self, seed: u64) -> String {
+        let mut text = json!({"name": "n1", "listen": address(6565).to_string(),
+            "kernel": address(6100).to_string(), "members": address(7946).to_string(),
+            "seed": format!("{seed:x}"), "stop_ms": STOP.0 / 1000,
+            "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 384}, "settings": self.site.settings(GATEWAYS)});
+        if self.site.below {
+            text["store"] = json!(address(9042).to_string());
+        }
+        text.to_string()
     }
 
     /// Starts a process, with a new seed of its own.
     fn start(&mut self, seed: u64) {
         self.life += 1;
         self.leaving = false;
-        let text = Self::configuration(seed.wrapping_add(u64::from(self.life)));
+        let text = self.configuration(seed.wrapping_add(u64::from(self.life)));
         let node = config::parse(&text, None, None, None).map_err(|e| e.to_string()).and_then(|c| {
             Node::start(Virtual(self.net.clone()), c, Logs::default()).map_err(|e| e.to_string())
         });
@@ -270,7 +268,7 @@
     /// Plays the world to its end.
     pub fn run(mut self, seed: u64) -> Outcome {
         // After the last arrival all that was asked is seen to its end.
-        let last = self.end.plus(DEADLINE).plus(STOP);
+        let last = self.end.plus(self.site.longest()).plus(STOP);
         while let Some(t) = self.step_time().filter(|t| *t <= last) {
             if !self.rules.violations.is_empty() {
                 break;
@@ -291,6 +289,8 @@
             refused: self.rules.refused,
             failed: self.rules.failed,
             plan: self.plan.clone(),
+            site: self.site.to_string(),
+            skipped: self.skipped + self.kernel.skipped,
             trace: self.trace.clone().unwrap_or_default(),
         }
     }
@@ -375,10 +375,12 @@
             Event::GiveUp(id) => self.give_up(&id),
             Event::Reply(side, bytes) => self.net.borrow_mut().say(side, &bytes),
             Event::Fault(i) => self.fault(self.plan[i].1),
-            Event::Over(Fault::Burst(_)) => self.rate = 30.0,
+            Event::Over(Fault::Burst(_)) => self.rate = self.site.rate,
             Event::Over(Fault::Slow(_)) => self.kernel.speed = 1.0,
             Event::Over(Fault::Death(_)) if self.node.is_none() => {
-                self.kernel = Kernel::new(now, 4.0, true);
+                self.skipped += self.kernel.skipped;
+                self.kernel = Kernel::new(now, CORES, true);
+                self.kernel.halts = self.site.halt != "silent";
                 self.start(seed);
             }
             Event::Over(_) => {}
@@ -411,7 +413,7 @@
                 }
             }
             Fault::Burst(long) => {
-                self.rate = 90.0;
+                self.rate = self.site.rate * 3.0;
                 self.at(now.plus(long), Event::Over(fault));
             }
             Fault::Slow(long) => {
@@ -441,17 +443,14 @@
     }
 
     fn draw(&mut self) -> Request {
-        let keyed = self.dice.chance(0.4);
+        let class = self.site.pick(&mut self.dice);
+        let kind = &self.site.kinds[class];
+        let work = Micros(kind.work.0 / 2).plus(self.dice.span(Micros(kind.work.0 / 2)));
+        let (keyed, row) = (kind.keyed, format!("{:016x}", self.dice.below(50)));
         let id = self.id();
-        let work = Micros::millis(20).plus(self.dice.span(Micros::millis(60)));
         let tries_left = 1 + self.dice.below(3) as u32;
-        Request {
-            class: keyed.into(),
-            key: keyed.then(|| format!("key{id}")),
-            body: id.into_bytes(),
-            work,
-            tries_left,
-        }
+        let key = keyed.then(|| format!("key{id}"));
+        Request { class, key, body: id.into_bytes(), work, tries_left, until: None, row }
     }
 
     fn id(&mut self) -> String {
@@ -462,7 +461,10 @@
     /// Sends a try over a connection with room, or a new one.
     fn attempt(&mut self, mut request: Request) {
         let gateway = self.dice.below(GATEWAYS);
-        let free = self.conns.iter().find(|(_, c)| c.gateway == gateway && c.open.len() < 8).map(|(s, _)| *s);
+        // Some requests come on a connection of their own, so that nothing else passes on it while they are open.
+        let shares = self.dice.chance(0.7);
+        let fits = |c: &Conn| shares && c.gateway == gateway && c.open.len() < 8;
+        let free = self.conns.iter().find(|(_, c)| fits(c)).map(|(s, _)| *s);
         let side = free.unwrap_or_else(|| {
             let side = self.net.borrow_mut().connect(address(6565));
             let (reader, open) = (Reader::default(), BTreeMap::new());
@@ -473,34 +475,46 @@
         let moment = self.net.borrow().moment();
         let ingress = Micros(moment.wall.0 / 1000 * 1000);
         request.tries_left -= 1;
-        let class = ["quote", "booking"][request.class];
+        let kind = self.site.kinds[request.class].clone();
+        let (class, further) = (kind.name.as_str(), request.until.is_some());
+        // Some wait for less than the deadline of their class; a further try has what is left.
+        let patient = !self.dice.chance(0.2);
+        let until = *request.until.get_or_insert_with(|| {
+            let short = Micros::millis(300).plus(self.dice.span(kind.deadline)).min(kind.deadline);
+            moment.mono.plus(if patient { kind.deadline } else { short })
+        });
+        let left = Micros(until.since(moment.mono).0 / 1000 * 1000);
+        let due = moment.mono.plus(if self.site.patience { left } else { kind.deadline });
         let mut params = vec![
             ("REQUEST_METHOD", "POST".to_string()),
             ("SCRIPT_NAME", format!("/svc/{class}")),
             ("HTTP_X_TXN", id.clone()),
             ("HTTP_X_INGRESS_TIME", (ingress.0 / 1000).to_string()),
             ("HTTP_X_ROUTER", gateway.to_string()),
-            ("HTTP_X_CPU_HINT", format!("{:.2}", request.work.0 as f64 / 1000.0)),
             ("HTTP_X_WORKING_SET_KB", "24.5".to_string()),
             ("HTTP_X_SHED_ORDER", format!("{:.4}", self.dice.share() * 0.999)),
         ];
         params.extend(request.key.clone().map(|key| ("HTTP_X_TXN_KEY", key)));
+        let told = [
+            (self.site.hints, "HTTP_X_CPU_HINT", format!("{:.2}", request.work.0 as f64 / 1000.0)),
+            (self.site.patience, "HTTP_X_TTL_MS", (left.0 / 1000).to_string()),
+            (self.site.marks && further, "HTTP_X_SECOND_TRY", "1".into()),
+            (self.site.rows && !kind.keyed, "HTTP_X_ROW", request.row.clone()),
+        ];
+        params.extend(told.into_iter().filter(|t| t.0).map(|(_, name, value)| (name, value)));
         let Some(conn) = self.conns.get_mut(&side) else { return };
         let number = conn.next;
         conn.next = conn.next.wrapping_add(1).max(1);
         conn.open.insert(number, id.clone());
         self.net.borrow_mut().say(side, &fastcgi::request(number, &params, &request.body));
-        self.kernel.know(&id, Known { class: class.into(), body: request.body.clone(), work: request.work });
+        let (calls, skips) = (kind.calls, kind.skip_worth > 0.0);
+        let (class, body, work) = (class.into(), request.body.clone(), request.work);
+        self.kernel.know(&id, Known { class, body, work, calls, skips });
         let key = request.key.clone().map(|key| (key, request.body.clone()));
-        self.rules.sent(&id, key, moment.mono, moment.mono.plus(DEADLINE), self.life);
+        self.rules.sent(&id, key, moment.mono, due, self.life);
         self.sent += 1;
-        // Some wait for less than the deadline, and of those that give up some are not heard.
-        let patience =
-            if self.dice.chance(0.2) { Micros::millis(300).plus(self.dice.span(DEADLINE)) } else { DEADLINE };
-        self.at(
-            moment.mono.plus(patience.min(DEADLINE)).plus(Micros::millis(200)),
-            Event::GiveUp(id.clone()),
-        );
+        // Of those that give up some are not heard.
+        self.at(moment.mono.plus(left).plus(Micros::millis(200)), Event::GiveUp(id.clone()));
         self.tries.insert(id, (request, side, number));
     }
 
@@ -525,9 +539,9 @@
 
     /// A further try, if there is one left.
     fn again(&mut self, request: Request) {
-        if request.tries_left > 0 {
-            let after = Micros::millis(5).plus(self.dice.span(Micros::millis(300)));
-            let at = self.now().plus(after);
+        let after = Micros::millis(5).plus(self.dice.span(Micros::millis(300)));
+        let at = self.now().plus(after);
+        if request.tries_left > 0 && request.until.is_none_or(|until| at < until) {
             self.at(at, Event::Try(request));
         }
     }
@@ -582,6 +596,9 @@
                 match bytes {
                     Some(bytes) => self.answers(now, side, &bytes),
                     None => {
+                        let open = self.conns.get(&side).map(|c| c.open.values().cloned().collect());
+                        let open: Vec<String> = open.unwrap_or_default();
+                        open.iter().for_each(|id| self.rules.closed(now, id));
                         self.lose(side);
                         self.net.borrow_mut().close(side, false);
                     }
@@ -611,8 +628,8 @@
             if let Some((request, _, _)) = self.tries.remove(&id) {
                 if answer.status == 200 && request.key.is_some() && self.dice.chance(0.2) {
                     // Some come again round the edge of the window, from well within it to just past it.
-                    let edge = Micros(WINDOW.0 - 3_000_000 + self.dice.below(3_300_000));
-                    let late = Request { tries_left: 1, ..request.clone() };
+                    let edge = Micros(self.site.window.0 - 3_000_000 + self.dice.below(3_300_000));
+                    let late = Request { tries_left: 1, until: None, ..request.clone() };
                     self.at(now.plus(edge), Event::Try(late));
                 }
                 // A booking is asked for again also after its result, as the way back may have been lost.
@@ -632,6 +649,7 @@
                     self.rules.began(now, &id);
                 }
                 Seen::Result(id, result) => self.rules.result(&id, result),
+                Seen::Barred(what) => self.rules.wrong(now, "barred", what),
                 Seen::Changed(id) => {
                     self.rules.wrong(now, "changed", format!("{id} reached the kernel changed"))
                 }
--- a/crates/lab/tests/worlds.rs
+++ b/crates/lab/tests/worlds.rs
@@ -17,6 +17,7 @@
     // They saw something: requests of all endings, and faults of every kind.
     let sum = |of: fn(&gaugestand_lab::world::Outcome) -> u64| outcomes.iter().map(of).sum::<u64>();
     assert!(sum(|o| o.served) > 10_000 && sum(|o| o.refused) > 100 && sum(|o| o.failed) > 0);
+    assert!(sum(|o| o.skipped) > 20, "{} calls left out", sum(|o| o.skipped));
     let kinds: BTreeSet<_> = outcomes
         .iter()
         .flat_map(|o| &o.plan)
@@ -55,7 +56,7 @@
         rules
     };
     type Story = fn(&mut Rules);
-    let cases: [(Option<&str>, Story); 16] = [
+    let cases: [(Option<&str>, Story); 18] = [
         (None, |r| {
             r.began(ms(1_001), "a");
             r.result("a", b"r".to_vec());
@@ -90,6 +91,8 @@
             r.excuse("a");
             r.look(ms(6_000));
         }),
+        (None, |r| r.closed(ms(1_050), "a")),
+        (Some("lost"), |r| r.closed(ms(1_051), "a")),
         (Some("drain"), |r| {
             r.draining(ms(300));
             r.began(ms(1_001), "a");
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -906,3 +906,18 @@
     assert_eq!(served(&gateway.answer()).1, "500");
     assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
 }
+
+#[test]
+fn a_run_may_go_on_without_its_call_in_a_drain_and_is_served_before_the_end() {
+    let scene = Scene::new(|c| c["settings"]["extra"]["class-skip-worth"] = json!([0.3, 0.0]));
+    let mut kernel = scene.link();
+    let mut gateway = scene.gateway();
+    gateway.request(1, "quote", A, b"q");
+    kernel.expect("SCHED", A);
+    scene.signal("-TERM");
+    while scene.report() != "HB n3 OUT" {}
+    kernel.io_req(A, b"c");
+    kernel.expect("NOIO", A);
+    kernel.reap(A, "good", b"poorer");
+    assert_eq!(served(&gateway.answer()), (1, "200", &b"poorer"[..]));
+}
