--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -26,6 +26,19 @@
     kernel
 }
 
+/// A scene whose program can be replaced, with its kernel and a gateway; the first key has the result `first`.
+fn with_a_result() -> (Scene, Kernel, Gateway) {
+    let scene = Scene::shared();
+    let mut kernel = scene.link();
+    scene.await_good();
+    let mut gateway = scene.gateway();
+    gateway.send(&try_records(1, "booking", &txn(1), &[("HTTP_X_TXN_KEY", &key(1))], b"one"));
+    kernel.expect("SCHED", &txn(1));
+    kernel.reap(&txn(1), "good", b"first");
+    assert_eq!(gateway.answer().body, b"first");
+    (scene, kernel, gateway)
+}
+
 // Guards against anything that is lost, run again or answered otherwise as one process takes over from another: open
 // runs, calls that are out, requests that are half read, stored results, conflicts.
 #[test]
@@ -99,14 +112,7 @@
 // Guards against a new process that fails and takes the old one along, and against an old one whose death loses keys.
 #[test]
 fn either_process_may_die_before_the_other_takes_over() {
-    let mut scene = Scene::shared();
-    let mut kernel = scene.link();
-    scene.await_good();
-    let mut gateway = scene.gateway();
-    gateway.send(&try_records(1, "booking", &txn(1), &[("HTTP_X_TXN_KEY", &key(1))], b"one"));
-    kernel.expect("SCHED", &txn(1));
-    kernel.reap(&txn(1), "good", b"first");
-    assert_eq!(gateway.answer().body, b"first");
+    let (mut scene, mut kernel, mut gateway) = with_a_result();
     let mut fails = scene.successor();
     let _linked = link(&fails.kernel, 0);
     fails.await_yes();
@@ -135,14 +141,7 @@
 // Guards against a new program that takes the node over though it cannot read what the old one had under way.
 #[test]
 fn a_process_that_cannot_read_the_state_gives_way_and_follows_once_the_old_one_has_ended() {
-    let mut scene = Scene::shared();
-    let mut kernel = scene.link();
-    scene.await_good();
-    let mut gateway = scene.gateway();
-    gateway.send(&try_records(1, "booking", &txn(1), &[("HTTP_X_TXN_KEY", &key(1))], b"one"));
-    kernel.expect("SCHED", &txn(1));
-    kernel.reap(&txn(1), "good", b"first");
-    assert_eq!(gateway.answer().body, b"first");
+    let (mut scene, mut kernel, mut gateway) = with_a_result();
     gateway.request(2, "quote", &txn(2), b"q");
     kernel.expect("SCHED", &txn(2));
     let between = Spoiler::between(scene.folder());
