Have a node that may not renew its lease name no wake in the past

Seen on reading the change again: Effect::wake gave the time of the last question plus a renewal also while the node has a later version in its log and asks nothing, so whoever drives it would have turned without end until that version ripens.

--- a/crates/fleet/src/effect.rs
+++ b/crates/fleet/src/effect.rs
@@ -207,7 +207,9 @@
     /// When to tell it that time has passed.
     pub fn wake(&self) -> Option<Micros> {
         let ripens = self.waiting.first().map(|w| w.1);
-        let renews = self.question.as_ref().map(|q| q.asked.plus(self.renewal()));
+        // While it knows of a later version it renews nothing: that would be a wake in the past, again and again.
+        let renews = self.question.as_ref().filter(|_| self.allows(self.ripe));
+        let renews = renews.map(|q| q.asked.plus(self.renewal()));
         [ripens, renews].into_iter().flatten().min()
     }
 
--- a/crates/fleet/tests/effect.rs
+++ b/crates/fleet/tests/effect.rs
@@ -164,6 +164,8 @@
                 Step::Yes { to, number } => self.send(who, to, Event::Yes { from: who, number }),
             }
         }
+        let wake = self.nodes[i].effect.wake();
+        assert!(wake.is_none_or(|t| t > clock), "it would turn without end: {wake:?} at {clock:?}");
         self.look(who);
     }
 
