Agree on versions by a log of the nodes' own, driven without I/O, and rule on requests

crates/fleet: accord drives the raft crate (async writes: what depends on a page waits until it is durable), shelf is the log in memory with what of it goes to disk, wire the messages, gate what a request gets. That there is no version yet is known by a lease as well, so that a node with a new disk cannot take itself for the first one.

No program links it yet.

--- a/crates/fleet/src/effect.rs
+++ b/crates/fleet/src/effect.rs
@@ -152,7 +152,7 @@
 /// What a node may act on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Acts {
-    /// On this version.
+    /// On this version; 0 if no majority knows of any.
     On(Version),
     /// On what no version from this one on contradicts: there may be a newer one that others act on already. 0 if it
     /// has had none since its start.
@@ -204,6 +204,11 @@
         self.lease
     }
 
+    /// The latest version that was waited for, with a lease or without.
+    pub fn ripe(&self) -> Version {
+        self.ripe
+    }
+
     /// When to tell it that time has passed.
     pub fn wake(&self) -> Option<Micros> {
         let ripens = self.waiting.first().map(|w| w.1);
@@ -245,7 +250,8 @@
             .question
             .as_ref()
             .is_none_or(|q| q.version != self.ripe || now.since(q.asked) >= self.renewal());
-        if due && self.ripe > 0 && self.allows(self.ripe) {
+        // Before there is a version, that there is none has to be known as well: a node with a new disk cannot tell.
+        if due && self.allows(self.ripe) {
             self.ask(now, out);
         }
     }
--- /dev/null
+++ b/crates/fleet/src/shelf.rs
@@ -0,0 +1,228 @@
+//! The log in memory: what the consensus library reads, and what of it goes to the disk.
+
+use crate::effect::Version;
+use crate::wire::{Base, Entry as Versioned};
+use prost::Message as _;
+use raft::prelude::{ConfState, Entry, HardState, Snapshot};
+use raft::{Error, GetEntriesContext, RaftState, Storage, StorageError};
+use std::collections::VecDeque;
+
+/// Most versions that are kept.
+pub const MOST_VERSIONS: usize = 64;
+/// Most bytes of them.
+pub const MOST_BYTES: usize = 4 << 20;
+/// Most entries, those included that the library makes for itself.
+const MOST_ENTRIES: usize = 1024;
+
+/// What is to be made durable, all of it or nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The library's own state: term, vote, what is committed.
+    pub state: Option<Vec<u8>>,
+    /// What stands for all that is forgotten.
+    pub base: Option<Vec<u8>>,
+    /// Entries from here on go, before the new ones come.
+    pub cut: Option<u64>,
+    /// Entries by place.
+    pub put: Vec<(u64, Vec<u8>)>,
+    /// Entries up to here go.
+    pub forget: Option<u64>,
+}
+
+impl Page {
+    /// Whether there is nothing to do.
+    pub fn is_empty(&self) -> bool {
+        *self == Page::default()
+    }
+}
+
+/// What a node found on its disk.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Found {
+    /// As in [`Page::state`].
+    pub state: Option<Vec<u8>>,
+    /// As in [`Page::base`].
+    pub base: Option<Vec<u8>>,
+    /// Entries in the order of their places.
+    pub entries: Vec<(u64, Vec<u8>)>,
+}
+
+/// The log and the library's state, as they are or will be on disk.
+#[derive(Debug)]
+pub struct Shelf {
+    hard: HardState,
+    voters: ConfState,
+    base: Base,
+    entries: VecDeque<Entry>,
+}
+
+/// The version that an entry holds, if it holds one.
+pub fn version_of(entry: &Entry) -> Option<Versioned> {
+    if entry.get_data().is_empty() { None } else { Versioned::decode(entry.get_data()).ok() }
+}
+
+/// A message of the library's own form as bytes.
+fn bytes(message: &impl protobuf::Message) -> Vec<u8> {
+    // Fields of these messages are all optional, which is the one thing that writing can fail by.
+    message.write_to_bytes().unwrap_or_default()
+}
+
+fn read<M: protobuf::Message>(bytes: &[u8]) -> Result<M, &'static str> {
+    let mut message = M::new();
+    message.merge_from_bytes(bytes).map_err(|_| "an entry or the vote cannot be read")?;
+    Ok(message)
+}
+
+impl Shelf {
+    /// From what was found, for these voters.
+    pub fn open(found: &Found, voters: Vec<u64>) -> Result<Self, &'static str> {
+        let hard: HardState = found.state.as_deref().map_or(Ok(HardState::default()), read)?;
+        let base = found.base.as_deref().map_or(Ok(Base::default()), Base::decode);
+        let base = base.map_err(|_| "what stands for the forgotten entries cannot be read")?;
+        let mut shelf = Shelf {
+            hard,
+            voters: ConfState { voters, ..ConfState::default() },
+            base,
+            entries: VecDeque::new(),
+        };
+        for (index, entry) in &found.entries {
+            let entry: Entry = read(entry)?;
+            if entry.index != *index || entry.index != shelf.last() + 1 {
+                return Err("an entry is missing");
+            }
+            shelf.entries.push_back(entry);
+        }
+        if shelf.hard.commit > shelf.last() || shelf.hard.commit < shelf.base.index {
+            return Err("what was committed is missing");
+        }
+        Ok(shelf)
+    }
+
+    /// The place of the last entry.
+    fn last(&self) -> u64 {
+        self.base.index + self.entries.len() as u64
+    }
+
+    /// The last version in the log, committed or not; 0 if there is none.
+    pub fn last_version(&self) -> Version {
+        let newest = self.entries.iter().rev().find_map(version_of);
+        newest.map(|v| v.version).or(self.base_version().map(|v| v.version)).unwrap_or(0)
+    }
+
+    /// The version that the base holds.
+    pub fn base_version(&self) -> Option<&Versioned> {
+        self.base.last.as_ref().filter(|v| v.version > 0)
+    }
+
+    /// The place that the base stands for.
+    pub fn base_index(&self) -> u64 {
+        self.base.index
+    }
+
+    /// Takes entries in; those that stood in their places and after them go.
+    pub fn append(&mut self, entries: Vec<Entry>, page: &mut Page) {
+        let Some(first) = entries.first().map(|e| e.index) else { return };
+        if first <= self.last() {
+            self.entries.truncate(first.saturating_sub(self.base.index + 1) as usize);
+            page.cut = Some(first);
+        }
+        for entry in entries {
+            page.put.push((entry.index, bytes(&entry)));
+            self.entries.push_back(entry);
+        }
+    }
+
+    /// Takes the library's state in.
+    pub fn set_hard(&mut self, hard: &HardState, page: &mut Page) {
+        self.hard = hard.clone();
+        page.state = Some(bytes(hard));
+    }
+
+    /// Takes the place of all with what a snapshot holds.
+    pub fn restore(&mut self, snapshot: &Snapshot, page: &mut Page) -> Result<(), &'static str> {
+        let base = Base::decode(snapshot.get_data()).map_err(|_| "a snapshot cannot be read")?;
+        self.entries.clear();
+        self.hard.commit = self.hard.commit.max(base.index);
+        (page.cut, page.base, page.state) = (Some(0), Some(base.encode_to_vec()), Some(bytes(&self.hard)));
+        self.base = base;
+        Ok(())
+    }
+
+    /// Forgets what is over the bounds, of what was applied.
+    pub fn trim(&mut self, applied: u64, page: &mut Page) {
+        let held = |e: &Entry| (e.get_data().len(), usize::from(!e.get_data().is_empty()));
+        let (mut size, mut versions) =
+            self.entries.iter().map(held).fold((0, 0), |(a, b), (x, y)| (a + x, b + y));
+        let mut forgotten = None;
+        while size > MOST_BYTES || versions > MOST_VERSIONS || self.entries.len() > MOST_ENTRIES {
+            if self.entries.front().is_none_or(|e| e.index >= applied) {
+                break;
+            }
+            let Some(entry) = self.entries.pop_front() else { break };
+            let (bytes, one) = held(&entry);
+            (size, versions) = (size - bytes, versions - one);
+            (self.base.index, self.base.term) = (entry.index, entry.term);
+            self.base.last = version_of(&entry).or(self.base.last.take());
+            forgotten = Some(entry.index);
+        }
+        if forgotten.is_some() {
+            (page.forget, page.base) = (forgotten, Some(self.base.encode_to_vec()));
+        }
+    }
+}
+
+impl Storage for Shelf {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        Ok(RaftState { hard_state: self.hard.clone(), conf_state: self.voters.clone() })
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        max_size: impl Into<Option<u64>>,
+        _context: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        if low <= self.base.index {
+            return Err(Error::Store(StorageError::Compacted));
+        }
+        if high > self.last() + 1 {
+            return Err(Error::Store(StorageError::Unavailable));
+        }
+        let (from, to) = (low - self.base.index - 1, high - self.base.index - 1);
+        let mut all: Vec<Entry> = self.entries.range(from as usize..to as usize).cloned().collect();
+        raft::util::limit_size(&mut all, max_size.into());
+        Ok(all)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        if index == self.base.index {
+            return Ok(self.base.term);
+        }
+        if index < self.base.index {
+            return Err(Error::Store(StorageError::Compacted));
+        }
+        let entry = self.entries.get((index - self.base.index - 1) as usize);
+        entry.map(|e| e.term).ok_or(Error::Store(StorageError::Unavailable))
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        Ok(self.base.index + 1)
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        Ok(self.last())
+    }
+
+    fn snapshot(&self, request_index: u64, _to: u64) -> raft::Result<Snapshot> {
+        if self.base.index < request_index {
+            return Err(Error::Store(StorageError::SnapshotTemporarilyUnavailable));
+        }
+        let mut snapshot = Snapshot::default();
+        snapshot.set_data(self.base.encode_to_vec().into());
+        let meta = snapshot.mut_metadata();
+        (meta.index, meta.term) = (self.base.index, self.base.term);
+        meta.set_conf_state(self.voters.clone());
+        Ok(snapshot)
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/accord.rs
@@ -0,0 +1,367 @@
+//! Fleets by seed, whole: logs with disks that lose what was not synced, late and lost messages, cuts, sleeps, drifting
+//! clocks, proposals at any node. What is checked is what operators and clients could see, by one clock.
+
+use gaugestand_core::facade::Micros;
+use gaugestand_fleet::accord::{Accord, Event, Refusal, Setup, Step};
+use gaugestand_fleet::effect::{Acts, Defect, Member, Terms, Version};
+use gaugestand_fleet::shelf::{Found, Page};
+use std::collections::BTreeMap;
+
+const LEASE: Micros = Micros::millis(600);
+const DRIFT: u64 = 20_000;
+/// Faults and proposals happen until then; after it all is well again for as long.
+const TROUBLE: u64 = 15_000_000;
+
+enum Happens {
+    Tick(Member),
+    /// To this life of a node.
+    Comes(Member, u64, Event),
+    Written(Member, u64, u64),
+    Propose,
+    Kill,
+    Sleep,
+    Cut,
+}
+
+/// A disk: what is durable, and pages on their way to it.
+#[derive(Default)]
+struct Disk {
+    state: Option<Vec<u8>>,
+    base: Option<Vec<u8>>,
+    entries: BTreeMap<u64, Vec<u8>>,
+    unsynced: Vec<(u64, Page)>,
+}
+
+impl Disk {
+    fn make(&mut self, page: Page) {
+        if let Some(from) = page.cut {
+            self.entries.retain(|at, _| *at < from);
+        }
+        self.entries.extend(page.put);
+        if let Some(to) = page.forget {
+            self.entries.retain(|at, _| *at > to);
+        }
+        self.state = page.state.or(self.state.take());
+        self.base = page.base.or(self.base.take());
+    }
+
+    fn found(&self) -> Found {
+        let entries = self.entries.iter().map(|(at, e)| (*at, e.clone())).collect();
+        Found { state: self.state.clone(), base: self.base.clone(), entries }
+    }
+}
+
+struct Node {
+    accord: Option<Accord>,
+    disk: Disk,
+    life: u64,
+    asleep: u64,
+    rate: u64,
+}
+
+struct Fleet {
+    rng: fastrand::Rng,
+    terms: Terms,
+    now: u64,
+    serial: u64,
+    events: BTreeMap<(u64, u64), Happens>,
+    nodes: Vec<Node>,
+    deaf: Vec<u64>,
+    mute: Vec<u64>,
+    /// Pages count as durable before they are.
+    unsynced: bool,
+    agreed: BTreeMap<Version, Vec<u8>>,
+    proposals: BTreeMap<u64, Vec<u8>>,
+    answered: BTreeMap<u64, Result<Version, Refusal>>,
+    first: BTreeMap<Version, u64>,
+    ends: BTreeMap<Version, u64>,
+    broken: Vec<String>,
+}
+
+impl Fleet {
+    fn new(seed: u64, size: usize, defect: Option<Defect>, unsynced: bool) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let terms = Terms::new(size, LEASE, DRIFT).expect("sound terms");
+        let terms = defect.map_or(terms, |d| terms.planted(d));
+        let rates = [1_000_000 - DRIFT, 1_000_000, 1_000_000 + DRIFT];
+        let node = |rng: &mut fastrand::Rng| {
+            let rate = rates[rng.usize(..3)];
+            Node { accord: None, disk: Disk::default(), life: 0, asleep: 0, rate }
+        };
+        let nodes = (0..size).map(|_| node(&mut rng)).collect();
+        let mut fleet = Fleet {
+            rng,
+            terms,
+            now: 1_000_000,
+            serial: 0,
+            events: BTreeMap::new(),
+            nodes,
+            deaf: vec![0; size],
+            mute: vec![0; size],
+            unsynced,
+            agreed: BTreeMap::new(),
+            proposals: BTreeMap::new(),
+            answered: BTreeMap::new(),
+            first: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            broken: Vec::new(),
+        };
+        for me in 0..size as Member {
+            fleet.start(me);
+        }
+        for _ in 0..24 {
+            let t = 1_000_000 + fleet.rng.u64(..TROUBLE);
+            fleet.at(t, Happens::Propose);
+        }
+        for _ in 0..6 {
+            let (a, b, c) = (fleet.rng.u64(..TROUBLE), fleet.rng.u64(..TROUBLE), fleet.rng.u64(..TROUBLE));
+            fleet.at(1_000_000 + a, Happens::Kill);
+            fleet.at(1_000_000 + b, Happens::Sleep);
+            fleet.at(1_000_000 + c, Happens::Cut);
+        }
+        fleet
+    }
+
+    fn at(&mut self, t: u64, happens: Happens) {
+        self.serial += 1;
+        self.events.insert((t, self.serial), happens);
+    }
+
+    fn clock(&self, who: Member) -> Micros {
+        Micros(self.now * self.nodes[usize::from(who)].rate / 1_000_000)
+    }
+
+    fn start(&mut self, me: Member) {
+        let (now, i) = (self.clock(me), usize::from(me));
+        self.nodes[i].life += 1;
+        let life = self.nodes[i].life;
+        let names = (0..self.nodes.len()).map(|n| format!("n{n}")).collect();
+        let setup = Setup { me, names, terms: self.terms, life };
+        let (found, mut out) = (self.nodes[i].disk.found(), Vec::new());
+        match Accord::new(now, setup, &found, &mut out) {
+            Ok(accord) => self.nodes[i].accord = Some(accord),
+            Err(why) => self.broken.push(format!("node {me} cannot read its disk: {why}")),
+        }
+        self.carry_out(me, out);
+        for other in (0..self.nodes.len() as Member).filter(|o| *o != me) {
+            self.step(me, Event::Linked(other, true));
+        }
+        self.at(self.now, Happens::Tick(me));
+    }
+
+    fn step(&mut self, who: Member, event: Event) {
+        let (now, mut out) = (self.clock(who), Vec::new());
+        if let Some(accord) = &mut self.nodes[usize::from(who)].accord {
+            accord.step(now, event, &mut out);
+        }
+        self.carry_out(who, out);
+        self.look(who);
+    }
+
+    fn carry_out(&mut self, who: Member, steps: Vec<Step>) {
+        let i = usize::from(who);
+        for step in steps {
+            match step {
+                Step::Send(to, body) => {
+                    let lost = self.now < self.mute[i] || self.now < self.deaf[usize::from(to)];
+                    if !lost && self.rng.u8(..25) != 0 {
+                        let late = if self.rng.u8(..40) == 0 { 1_500_000 } else { 6_000 };
+                        let (t, life) =
+                            (self.now + 50 + self.rng.u64(..late), self.nodes[usize::from(to)].life);
+                        self.at(t, Happens::Comes(to, life, Event::Heard(who, body)));
+                    }
+                }
+                Step::Write(number, page) => {
+                    self.nodes[i].disk.unsynced.push((number, page));
+                    let (life, t) = (self.nodes[i].life, self.now + self.rng.u64(100..20_000));
+                    if self.unsynced {
+                        self.at(self.now, Happens::Comes(who, life, Event::Written(number)));
+                        self.at(t + 200_000, Happens::Written(who, life, number));
+                    } else {
+                        self.at(t, Happens::Written(who, life, number));
+                    }
+                }
+                Step::Check(asked, content, _) => {
+                    let verdict = if content.ends_with(b"7") { Err("it ends with 7".into()) } else { Ok(()) };
+                    let (life, t) = (self.nodes[i].life, self.now + 10);
+                    self.at(t, Happens::Comes(who, life, Event::Checked(asked, verdict)));
+                }
+                Step::Agreed(version, content) => {
+                    let known = self.agreed.entry(version).or_insert_with(|| content.to_vec());
+                    if **known != *content {
+                        let was = String::from_utf8_lossy(known);
+                        let is = String::from_utf8_lossy(&content);
+                        self.broken.push(format!("two contents under {version}: {was} and {is} at {who}"));
+                    }
+                }
+                Step::Answer(ticket, end) => {
+                    if self.answered.insert(ticket, end).is_some() {
+                        self.broken.push(format!("two answers to {ticket}"));
+                    }
+                }
+            }
+        }
+    }
+
+    /// What a node may act on counts from now to the end of its lease.
+    fn look(&mut self, who: Member) {
+        let node = &self.nodes[usize::from(who)];
+        let Some(accord) = &node.accord else { return };
+        let (now, rate) = (self.now, node.rate);
+        if let (Acts::On(version), Some((_, until))) = (accord.acts(self.clock(who)), accord.lease()) {
+            self.first.entry(version).or_insert(now);
+            let end = until.0 * 1_000_000 / rate;
+            let last = self.ends.entry(version).or_insert(end);
+            *last = (*last).max(end);
+        }
+    }
+
+    fn happen(&mut self, happens: Happens) {
+        let size = self.nodes.len();
+        match happens {
+            Happens::Tick(who) => {
+                let i = usize::from(who);
+                let t = self.nodes[i].asleep.max(self.now + self.rng.u64(5_000..15_000));
+                if self.now >= self.nodes[i].asleep {
+                    self.step(who, Event::Tick);
+                }
+                let life = self.nodes[i].life;
+                // One chain of ticks for each life.
+                if self.nodes[i].accord.is_some() && life > 0 {
+                    self.at(t, Happens::Tick(who));
+                }
+            }
+            Happens::Comes(who, life, event) => {
+                let node = &self.nodes[usize::from(who)];
+                if node.life != life || node.accord.is_none() {
+                    return;
+                }
+                if self.now < node.asleep {
+                    let t = node.asleep;
+                    return self.at(t, Happens::Comes(who, life, event));
+                }
+                self.step(who, event);
+            }
+            Happens::Written(who, life, number) => {
+                let node = &mut self.nodes[usize::from(who)];
+                if node.life != life {
+                    return;
+                }
+                // In order: a page is durable with all before it.
+                while node.disk.unsynced.first().is_some_and(|p| p.0 <= number) {
+                    let (_, page) = node.disk.unsynced.remove(0);
+                    node.disk.make(page);
+                }
+                if !self.unsynced {
+                    self.at(self.now, Happens::Comes(who, life, Event::Written(number)));
+                }
+            }
+            Happens::Propose => {
+                let (ticket, who) = (self.proposals.len() as u64 + 1, self.rng.usize(..size) as Member);
+                let content = format!("content {ticket}").into_bytes();
+                let last = self.agreed.last_key_value().map_or(0, |a| *a.0);
+                let expect = [None, Some(last)][self.rng.usize(..2)];
+                self.proposals.insert(ticket, content.clone());
+                let life = self.nodes[usize::from(who)].life;
+                let propose = Event::Propose { ticket, content, expect, force: false };
+                self.at(self.now, Happens::Comes(who, life, propose));
+            }
+            Happens::Kill => {
+                let i = self.rng.usize(..size);
+                // What was not synced is lost, each page whole.
+                self.nodes[i].disk.unsynced.clear();
+                self.nodes[i].accord = None;
+                self.events.retain(|_, h| !matches!(h, Happens::Tick(who) if usize::from(*who) == i));
+                self.start(i as Member);
+            }
+            Happens::Sleep => {
+                let (i, long) = (self.rng.usize(..size), self.rng.u64(..3_000_000));
+                self.nodes[i].asleep = self.now + long;
+            }
+            Happens::Cut => {
+                let (i, until) = (self.rng.usize(..size), self.now + self.rng.u64(..4_000_000));
+                let way = self.rng.u8(..3);
+                if way != 0 {
+                    self.deaf[i] = until;
+                }
+                if way != 1 {
+                    self.mute[i] = until;
+                }
+            }
+        }
+    }
+
+    /// Plays it; returns what was broken, and how many versions were agreed.
+    fn play(mut self) -> (Vec<String>, usize) {
+        while let Some(((t, _), happens)) = self.events.pop_first().filter(|e| e.0.0 < 2 * TROUBLE) {
+            self.now = t;
+            self.happen(happens);
+        }
+        for (newer, first) in &self.first {
+            let ends = self.ends.range(..newer).map(|e| *e.1).max().unwrap_or(0);
+            if ends > *first {
+                let long = ends - first;
+                self.broken
+                    .push(format!("version {newer} acted on {long} us before the end of an older lease"));
+            }
+        }
+        for (ticket, end) in &self.answered {
+            if let Ok(version) = end
+                && self.agreed.get(version) != self.proposals.get(ticket)
+            {
+                self.broken.push(format!("proposal {ticket} was told that it is version {version}"));
+            }
+        }
+        // Long after the last fault all know the same, and act on it.
+        let last = self.agreed.last_key_value().map_or(0, |a| *a.0);
+        for (i, node) in self.nodes.iter().enumerate() {
+            let acts = node.accord.as_ref().map(|a| a.acts(self.clock(i as Member)));
+            if acts != Some(Acts::On(last)) {
+                self.broken.push(format!("node {i} acts {acts:?} at the end, the last version is {last}"));
+            }
+        }
+        (self.broken, self.agreed.len())
+    }
+}
+
+fn broken(seed: u64, defect: Option<Defect>, unsynced: bool) -> (Vec<String>, usize) {
+    Fleet::new(seed, [3, 5, 9][seed as usize % 3], defect, unsynced).play()
+}
+
+#[test]
+fn what_is_agreed_stays_and_no_two_versions_are_acted_on_at_a_time() {
+    let mut agreed = 0;
+    for seed in 0..40 {
+        let (broken, versions) = broken(seed, None, false);
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+        agreed += versions;
+    }
+    assert!(agreed > 150, "only {agreed} versions were agreed");
+}
+
+#[test]
+#[ignore = "the same for longer"]
+fn what_is_agreed_stays_over_many_seeds() {
+    let mut agreed = 0;
+    for seed in 0..2_000 {
+        let (broken, versions) = broken(seed, None, false);
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+        agreed += versions;
+    }
+    println!("{agreed} versions");
+}
+
+#[test]
+fn a_log_that_is_not_synced_and_defects_of_leases_are_found() {
+    let cases = [(None, true), (Some(Defect::AtOnce), false), (Some(Defect::RenewedAlone), false)];
+    for (defect, unsynced) in cases {
+        let found = (0..60).find(|seed| !broken(*seed, defect, unsynced).0.is_empty());
+        println!("{defect:?}, not synced {unsynced}: seed {found:?}");
+        assert!(found.is_some(), "{defect:?}, not synced {unsynced}: not found");
+    }
+}
+
+#[test]
+fn a_fleet_has_one_course_by_its_seed() {
+    assert_eq!(broken(5, None, false), broken(5, None, false));
+}
