--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -77,6 +77,7 @@
 mod decide;
 pub mod facade;
 mod interface;
+pub mod page;
 pub mod register;
 pub mod succession;
 
--- a/crates/core/src/register.rs
+++ b/crates/core/src/register.rs
@@ -101,6 +101,8 @@
     fn print(&self, body: &[u8]) -> u128;
     /// A try with this key and fingerprint came, which reached the machine at `at`.
     fn find(&mut self, now: Moment, key: &str, print: u128, at: Moment) -> Found;
+    /// Whether the key is remembered for a try that reached the machine at `at`, whatever its body; changes nothing.
+    fn knows(&self, key: &str, at: Moment) -> bool;
     /// The try is a first one and has the key from now on. Returns repeats that waited for the one before it.
     fn keep(&mut self, key: &Rc<str>, id: RequestId, print: u128, until: Moment) -> Vec<RequestId>;
     /// The try, which reached the machine at `at`, is to be run; repeats are recognised up to `until`.
--- a/crates/fleet/src/accord.rs
+++ b/crates/fleet/src/accord.rs
@@ -6,9 +6,10 @@
 //! is not agreed later: [`Refusal::Unknown`] says so.
 
 use crate::effect::{self, Acts, Effect, Member, Terms, Version};
-use crate::shelf::{Found, Page, Shelf, version_of};
+use crate::shelf::{Shelf, version_of};
 use crate::wire::{Answer, Ask, Body, Check, Checked, Entry as Versioned, Forward, MOST_CONTENT};
 use gaugestand_core::facade::Micros;
+use gaugestand_core::page::{Found, Page};
 use prost::Message as _;
 use protobuf::Message as _;
 use raft::prelude::{Entry, Message};
@@ -27,7 +28,7 @@
 /// The others have so long to check a content.
 const CHECK: Micros = Micros::millis(1_000);
 /// A proposal that was passed on is given up after this long, and one that was appended as well.
-const ANSWER: Micros = Micros::millis(4_000);
+const ANSWER: Micros = Micros::millis(2_500);
 /// Proposals of this node's operators that may be out at a time.
 const MOST_OUT: usize = 16;
 
--- a/crates/fleet/src/shelf.rs
+++ b/crates/fleet/src/shelf.rs
@@ -2,6 +2,7 @@
 
 use crate::effect::Version;
 use crate::wire::{Base, Entry as Versioned};
+use gaugestand_core::page::{Found, Page};
 use prost::Message as _;
 use raft::prelude::{ConfState, Entry, HardState, Snapshot};
 use raft::{Error, GetEntriesContext, RaftState, Storage, StorageError};
@@ -14,39 +15,6 @@
 /// Most entries, those included that the library makes for itself.
 const MOST_ENTRIES: usize = 1024;
 
-/// What is to be made durable, all of it or nothing.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Page {
-    /// The library's own state: term, vote, what is committed.
-    pub state: Option<Vec<u8>>,
-    /// What stands for all that is forgotten.
-    pub base: Option<Vec<u8>>,
-    /// Entries from here on go, before the new ones come.
-    pub cut: Option<u64>,
-    /// Entries by place.
-    pub put: Vec<(u64, Vec<u8>)>,
-    /// Entries up to here go.
-    pub forget: Option<u64>,
-}
-
-impl Page {
-    /// Whether there is nothing to do.
-    pub fn is_empty(&self) -> bool {
-        *self == Page::default()
-    }
-}
-
-/// What a node found on its disk.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Found {
-    /// As in [`Page::state`].
-    pub state: Option<Vec<u8>>,
-    /// As in [`Page::base`].
-    pub base: Option<Vec<u8>>,
-    /// Entries in the order of their places.
-    pub entries: Vec<(u64, Vec<u8>)>,
-}
-
 /// The log and the library's state, as they are or will be on disk.
 #[derive(Debug)]
 pub struct Shelf {
--- a/crates/fleet/tests/accord.rs
+++ b/crates/fleet/tests/accord.rs
@@ -2,9 +2,9 @@
 //! clocks, proposals at any node. What is checked is what operators and clients could see, by one clock.
 
 use gaugestand_core::facade::Micros;
+use gaugestand_core::page::{Found, Page};
 use gaugestand_fleet::accord::{Accord, Event, Refusal, Setup, Step};
 use gaugestand_fleet::effect::{Acts, Defect, Member, Terms, Version};
-use gaugestand_fleet::shelf::{Found, Page};
 use std::collections::BTreeMap;
 
 const LEASE: Micros = Micros::millis(600);
@@ -47,7 +47,7 @@
 
     fn found(&self) -> Found {
         let entries = self.entries.iter().map(|(at, e)| (*at, e.clone())).collect();
-        Found { state: self.state.clone(), base: self.base.clone(), entries }
+        Found { state: self.state.clone(), base: self.base.clone(), entries, life: 0 }
     }
 }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod checkers;
+pub mod fleet;
 pub mod net;
 pub mod site;
 pub mod standins;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,9 +3,12 @@
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use gaugestand_core::facade::Micros;
+use gaugestand_lab::fleet;
 use gaugestand_lab::world::{Outcome, play};
 use rayon::prelude::*;
 use std::collections::BTreeSet;
+use std::ops::Range;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Instant;
 
@@ -15,6 +18,16 @@
     Run { seeds: String, virtual_secs: u64, jobs: Option<usize>, json: bool },
     /// Play one world again, in words.
     Replay { virtual_secs: u64, trace: bool, seed: u64 },
+    /// Several real processes with faults between them.
+    Fleet {
+        nodes: usize,
+        seed: u64,
+        runs: u64,
+        secs: u64,
+        faults: String,
+        program: Option<PathBuf>,
+        json: bool,
+    },
     /// Find the fewest faults that still break the rule.
     Shrink { virtual_secs: u64, seed: u64 },
 }
@@ -48,7 +61,21 @@
             .descr("Leave out faults as long as the rule still breaks")
             .command("shrink")
     };
-    construct!([run, replay, shrink]).to_options().descr("A virtual world for booking nodes")
+    let fleet = {
+        let nodes = long("nodes").help("Processes, 7 at most (3)").argument("N").fallback(3);
+        let seed = long("seed").help("The first seed (0)").argument("SEED").fallback(0);
+        let runs = long("runs").help("Seeds, one after the other (1)").argument("N").fallback(1);
+        let faults = long("faults").help("Which plan: accord").argument("PLAN").fallback("accord".into());
+        let program =
+            long("program").help("The node; else the one beside this program").argument("FILE").optional();
+        let json = long("json").help("Print one last line of JSON").switch();
+        let secs = long("secs").help("How long faults are thrown (20)").argument("SECONDS").fallback(20);
+        construct!(Command::Fleet { nodes, seed, runs, secs, faults, program, json })
+            .to_options()
+            .descr("Start several real processes, throw faults between them, and check what they do")
+            .command("fleet")
+    };
+    construct!([run, replay, shrink, fleet]).to_options().descr("A virtual world for booking nodes")
 }
 
 fn tell(outcome: &Outcome) {
@@ -101,6 +128,41 @@
     Ok(violations == 0)
 }
 
+/// Plays plans of faults on real processes.
+fn play_fleet(
+    nodes: usize,
+    seeds: Range<u64>,
+    secs: u64,
+    program: Option<PathBuf>,
+    json: bool,
+) -> Result<bool, String> {
+    let beside = || Some(std::env::current_exe().ok()?.with_file_name("gaugestand"));
+    let program = program.or_else(beside).filter(|p| p.exists());
+    let program = program.ok_or("--program: give the node's program; it is not beside this one")?;
+    let (mut violations, first) = (0, seeds.start);
+    let mut digest = blake3::Hasher::new();
+    for seed in seeds {
+        let plan = fleet::plan(seed, nodes, secs.saturating_mul(1000));
+        // Of the plan: when real processes do what is not the seed's.
+        digest.update(format!("{plan:?}").as_bytes());
+        let outcome = fleet::play(&program, nodes, seed, &plan, false)?;
+        println!("seed {seed}, {nodes} processes: {outcome}");
+        for v in &outcome.violations {
+            println!("  rule '{}' broken: {}", v.rule, v.seen);
+        }
+        if !outcome.violations.is_empty() {
+            plan.iter().for_each(|(at, fault)| println!("  {at:>6} ms  {fault:?}"));
+            println!("  again: gaugestand-lab fleet --nodes {nodes} --seed {seed} --secs {secs}");
+        }
+        violations += outcome.violations.len();
+    }
+    if json {
+        let digest = digest.finalize().to_hex()[..16].to_string();
+        println!("{{\"violations\": {violations}, \"seed\": {first}, \"digest\": \"{digest}\"}}");
+    }
+    Ok(violations == 0)
+}
+
 fn shrink(seed: u64, length: Micros) -> bool {
     let whole = play(seed, length, &BTreeSet::new(), false);
     let Some(rule) = whole.violations.first().map(|v| v.rule) else {
@@ -133,6 +195,15 @@
             println!("  digest {}", outcome.digest);
             Ok(outcome.violations.is_empty())
         }
+        Command::Fleet { nodes, seed, runs, secs, faults, program, json } => {
+            if faults != "accord" {
+                Err(format!("--faults: there is no plan {faults}; there is accord"))
+            } else if !(1..=7).contains(&nodes) {
+                Err("--nodes: from 1 to 7".into())
+            } else {
+                play_fleet(nodes, seed..seed.saturating_add(runs), secs, program, json)
+            }
+        }
         Command::Shrink { virtual_secs, seed } => {
             Ok(shrink(seed, Micros::millis(virtual_secs.saturating_mul(1000))))
         }
--- a/crates/lab/src/net.rs
+++ b/crates/lab/src/net.rs
@@ -4,6 +4,7 @@
 //! happens between two events; a node that is not woken does nothing.
 
 use gaugestand_core::facade::Micros;
+use gaugestand_core::page::Found;
 use gaugestand_core::register::Moment;
 use gaugestand_node::io::{Claim, Datagram, Kin, Listener, Passed, Ready, Stream, System, Worker};
 use gaugestand_record::row::{Batch, Outcome, Recovery};
@@ -370,6 +371,10 @@
         Err(format!("{}: there is no disk in this world yet", path.display()))
     }
 
+    fn diary(&self, path: &Path, _: &str, _: usize) -> Result<(NoStore, Found), String> {
+        Err(format!("{}: there is no disk in this world yet", path.display()))
+    }
+
     fn door(&self, _: &Path, _: usize) -> io::Result<Nobody> {
         Err(io::ErrorKind::Unsupported.into())
     }
--- a/crates/lab/src/standins/fastcgi.rs
+++ b/crates/lab/src/standins/fastcgi.rs
@@ -40,6 +40,8 @@
     pub id: u16,
     /// The number of its status; 0 if the protocol itself ended it.
     pub status: u16,
+    /// It asks that no other node be tried.
+    pub give_up: bool,
     /// Its body.
     pub body: Vec<u8>,
 }
@@ -81,12 +83,13 @@
 
 fn answer(id: u16, out: &[u8], end: &[u8]) -> Result<Answer, &'static str> {
     if end.get(4) != Some(&0) {
-        return Ok(Answer { id, status: 0, body: Vec::new() });
+        return Ok(Answer { id, status: 0, give_up: false, body: Vec::new() });
     }
     let at = out.windows(4).position(|w| w == b"\r\n\r\n").ok_or("a response without a head")?;
     let head = String::from_utf8_lossy(&out[..at]);
     let status =
         head.lines().find_map(|l| l.strip_prefix("Status: ")).ok_or("a response without a status")?;
     let status = status.get(..3).and_then(|s| s.parse().ok()).ok_or("a status that is no number")?;
-    Ok(Answer { id, status, body: out[at + 4..].to_vec() })
+    let give_up = head.lines().any(|l| l == "X-Give-Up: 1");
+    Ok(Answer { id, status, give_up, body: out[at + 4..].to_vec() })
 }
--- a/crates/lab/src/standins/mod.rs
+++ b/crates/lab/src/standins/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod fares;
 pub mod fastcgi;
+pub mod gateway;
 pub mod kernel;
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -15,22 +15,29 @@
 pub const SOCKETS: usize = MOST_CALLERS + 1;
 /// Longest line, with its end.
 const MOST_LINE: usize = 64;
+/// What a call about the fleet starts with, and its longest line: a version's content goes in one.
+const FLEET: &[u8] = b"FLEET ";
+const MOST_FLEET_LINE: usize = gaugestand_fleet::wire::MOST_CONTENT + MOST_LINE;
+/// Most bytes read at a time of such a line.
+const CHUNK: usize = 16 * 1024;
 /// Most pieces of what comes after the line that are read and dropped.
 const MOST_DROPPED: usize = 16;
 /// A caller that has not said a line, or has not read its answer, by then is let go.
 const PATIENCE: Micros = Micros::millis(5_000);
 
 /// What a caller wants.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
     /// Whether this process takes clients.
     Ping,
     /// The figures.
     Info,
+    /// Something about the fleet, in the words that follow.
+    Fleet(String),
 }
 
 /// What a caller has said so far.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Said {
     /// No whole line yet.
     Part,
@@ -40,16 +47,17 @@
     Wrong(&'static str),
 }
 
-/// Reads what a caller has said; `over` if nothing more comes.
-pub fn said(input: &[u8], over: bool) -> Said {
+/// Reads what a caller has said; `over` if nothing more comes, `fleet` if there is one.
+pub fn said(input: &[u8], over: bool, fleet: bool) -> Said {
+    let most = most_line(input, fleet);
     let Some(end) = input.iter().position(|b| *b == b'\n') else {
-        return match (input.len() >= MOST_LINE, over) {
+        return match (input.len() >= most, over) {
             (true, _) => Said::Wrong("the line is too long"),
             (false, true) => Said::Wrong("the line has no end"),
             (false, false) => Said::Part,
         };
     };
-    if end >= MOST_LINE {
+    if end >= most {
         return Said::Wrong("the line is too long");
     }
     if input.len() > end + 1 {
@@ -58,13 +66,23 @@
     match std::str::from_utf8(&input[..end]).map(|line| line.strip_suffix('\r').unwrap_or(line)) {
         Ok("PING") => Said::Whole(Call::Ping),
         Ok("INFO") => Said::Whole(Call::Info),
+        Ok(line) if fleet && line.starts_with("FLEET ") => {
+            Said::Whole(Call::Fleet(line["FLEET ".len()..].into()))
+        }
         Ok(_) => Said::Wrong("no such call; there are PING and INFO"),
         Err(_) => Said::Wrong("the line is not text"),
     }
 }
 
+/// How long a line that starts like this may be.
+fn most_line(input: &[u8], fleet: bool) -> usize {
+    if fleet && input.starts_with(FLEET) { MOST_FLEET_LINE } else { MOST_LINE }
+}
+
 #[derive(Debug)]
 struct Caller<T> {
+    /// Tells it apart from others that had its place before.
+    serial: u64,
     stream: T,
     since: Micros,
     input: Vec<u8>,
@@ -81,6 +99,10 @@
     listener: Option<S::Listener>,
     at: Option<SocketAddr>,
     callers: Vec<Option<Caller<S::Stream>>>,
+    /// Callers so far.
+    serial: u64,
+    /// There is a fleet to speak of.
+    fleet: bool,
 }
 
 /// Another address, with its listener.
@@ -89,10 +111,16 @@
 
 impl<S: System> Admin<S> {
     /// Listens at the address, if there is one; callers are watched under [`MOST_CALLERS`] keys from `first_key` on.
-    pub fn listen(system: &S, at: Option<SocketAddr>, key: usize, first_key: usize) -> io::Result<Self> {
+    pub fn listen(
+        system: &S,
+        at: Option<SocketAddr>,
+        key: usize,
+        first_key: usize,
+        fleet: bool,
+    ) -> io::Result<Self> {
         let listener = at.map(|at| system.listen(at, key)).transpose()?;
         let callers = (0..MOST_CALLERS).map(|_| None).collect();
-        Ok(Admin { system: system.clone(), key, first_key, listener, at, callers })
+        Ok(Admin { system: system.clone(), key, first_key, listener, at, callers, serial: 0, fleet })
     }
 
     /// The address it listens at.
@@ -134,7 +162,9 @@
             match listener.accept(self.first_key + place) {
                 Ok(stream) => {
                     let (input, output) = (Vec::new(), Outbox::default());
-                    let caller = Caller { stream, since: now, input, output, answered: false };
+                    self.serial += 1;
+                    let serial = self.serial;
+                    let caller = Caller { serial, stream, since: now, input, output, answered: false };
                     self.callers[place] = Some(caller);
                 }
                 Err(_) => {
@@ -150,11 +180,15 @@
         let place = event.key.checked_sub(self.first_key)?;
         let slot = self.callers.get_mut(place)?;
         let caller = slot.as_mut()?;
-        let mut chunk = [0; MOST_LINE + 1];
-        let over = match caller.stream.read(&mut chunk) {
+        let mut chunk = [0; CHUNK];
+        // Without a fleet no more is read than the longest line and what shows that it is over.
+        let most = if self.fleet { CHUNK } else { MOST_LINE + 1 };
+        let over = match caller.stream.read(&mut chunk[..most]) {
             Ok(0) => true,
             Ok(n) if !caller.answered => {
-                caller.input.extend(&chunk[..n.min(MOST_LINE + 1 - caller.input.len().min(MOST_LINE))]);
+                let most =
+                    most_line(if caller.input.is_empty() { &chunk[..n] } else { &caller.input }, self.fleet);
+                caller.input.extend(&chunk[..n.min(most + 1 - caller.input.len().min(most))]);
                 false
             }
             Ok(_) => false,
@@ -168,7 +202,7 @@
             self.write(place);
             return None;
         }
-        match said(&caller.input, over) {
+        match said(&caller.input, over, self.fleet) {
             Said::Part => None,
             // It has gone without a word.
             Said::Wrong(_) if over && caller.input.is_empty() => {
@@ -179,6 +213,19 @@
         }
     }
 
+    /// The caller that has this place now, for an answer that comes later.
+    pub fn caller(&self, place: usize) -> Option<u64> {
+        self.callers.get(place)?.as_ref().map(|c| c.serial)
+    }
+
+    /// Answers the caller of this number, if it is still there.
+    pub fn answer_later(&mut self, caller: u64, text: String) {
+        let at = |c: &Option<Caller<S::Stream>>| c.as_ref().is_some_and(|c| c.serial == caller);
+        if let Some(place) = self.callers.iter().position(at) {
+            self.answer(place, text);
+        }
+    }
+
     /// Answers a caller; its connection ends once the answer is written.
     pub fn answer(&mut self, place: usize, text: String) {
         if let Some(caller) = self.callers.get_mut(place).and_then(Option::as_mut) {
@@ -239,7 +286,15 @@
             (&long, false, Said::Wrong("the line is too long")),
         ];
         for (input, over, expected) in cases {
-            assert_eq!(said(input, over), expected, "{input:?}");
+            assert_eq!(said(input, over, false), expected, "{input:?}");
         }
+        let propose = [b"FLEET PROPOSE - - ".to_vec(), vec![b'x'; 4096], b"\n".to_vec()].concat();
+        assert_eq!(said(&propose, false, false), Said::Wrong("the line is too long"));
+        assert_eq!(said(&propose[..99], false, true), Said::Part);
+        assert!(
+            matches!(said(&propose, false, true), Said::Whole(Call::Fleet(words)) if words.len() == 4108)
+        );
+        let endless = vec![b'F'; 99];
+        assert_eq!(said(&endless, false, true), Said::Wrong("the line is too long"));
     }
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -242,6 +242,10 @@
         let least = LEAST_SOCKETS + super::record::SOCKETS;
         return wrong("limits.sockets", &format!("must be at least {least} with a store of record"));
     }
+    if operators.fleet.is_some() && config.sockets < LEAST_SOCKETS + super::fellows::SOCKETS {
+        let least = LEAST_SOCKETS + super::fellows::SOCKETS;
+        return wrong("limits.sockets", &format!("must be at least {least} with a fleet"));
+    }
     Ok(Config { operators, script: script.map(Path::to_path_buf), ..config })
 }
 
@@ -303,6 +307,26 @@
     Ok(new)
 }
 
+/// The same configuration under other settings, with the node's own part of them (`extra`: cores, memory, what lies below)
+/// but for what goes by class. `local` is what the node's file has; null settings mean those.
+pub fn with_settings(old: &Config, local: &Value, settings: &Value) -> Result<Config, ConfigError> {
+    let mut merged = if settings.is_null() { local.clone() } else { settings.clone() };
+    if let (Some(new), Some(own)) = (merged.as_object_mut(), local.get("extra")) {
+        let mut extra = own.clone();
+        for key in ["class-calls", "class-skip-worth"] {
+            if let Some(by_class) = settings.get("extra").and_then(|x| x.get(key)) {
+                extra[key] = by_class.clone();
+            }
+        }
+        new.insert("extra".into(), extra);
+    }
+    let mut file = old.file.clone();
+    file["settings"] = merged;
+    let (listen, admin) = (old.listen.to_string(), old.admin.map(|a| a.to_string()));
+    let new = parse(&file.to_string(), Some(old.name.clone()), Some(listen), admin)?;
+    Ok(Config { operators: old.operators.clone(), script: old.script.clone(), ..new })
+}
+
 /// Whether a configuration may take the place of another while the node serves.
 pub fn follows(old: &Config, new: &Config) -> Result<(), ConfigError> {
     if let Some(key) = missing(&old.file, &new.file, "") {
@@ -317,8 +341,10 @@
         return wrong(key, "cannot change while the node serves");
     }
     let store = |c: &Config| c.operators.record.as_ref().map(|r| (r.backend.clone(), r.entries));
+    let fleet = |c: &Config| c.operators.fleet.clone();
     let same = [
         ("record", "another store would not know what this one holds", store(old) == store(new)),
+        ("fleet", "the others would not know", fleet(old) == fleet(new)),
         ("log: `form`", "its reader expects one form", old.operators.log.form == new.operators.log.form),
     ];
     match same.into_iter().find(|s| !s.2) {
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -133,6 +133,18 @@
     record_in_doubt,
     /// Connections to the store of record made.
     record_links,
+    /// Messages of the fleet that were read.
+    fellow_messages,
+    /// Messages of the fleet that ended their link: unreadable, too long, or not for this node.
+    fellow_unfit,
+    /// Messages of the fleet that a slow fellow had no room for.
+    fellow_dropped,
+    /// Pages of the agreed log that were made durable.
+    fleet_pages,
+    /// Requests refused as this node had no lease for what the fleet agreed on.
+    fleet_unleased,
+    /// Requests refused by the fleet's lists.
+    fleet_barred,
     /// Lines of the log that nobody read in time.
     log_lines_dropped,
     /// Reports to the membership service.
--- /dev/null
+++ b/crates/node/src/fellows.rs
@@ -0,0 +1,589 @@
+//! The other nodes of the fleet: links to them, the agreed log's file, and what this node may act on.
+//!
+//! All decisions are `gaugestand_fleet`'s. This carries them out: frames by length over one connection a pair, pages to the
+//! worker in their order, proposals of operators and their answers. A link that breaks proves nothing; what a slow fellow has
+//! no room for is dropped, as the log's library and the leases say it again.
+
+use super::counters::Counters;
+use super::io::link::{Change, Link};
+use super::io::{Listener, Ready, System, Worker};
+use gaugestand_core::RequestId;
+use gaugestand_core::facade::Micros;
+use gaugestand_core::page::Page;
+use gaugestand_fleet::accord::{Accord, Asked, Event, Refusal, Setup, Step};
+use gaugestand_fleet::differ::Content;
+use gaugestand_fleet::effect::{Acts, Member, Terms, Version};
+use gaugestand_fleet::gate::{self, Ruling};
+use gaugestand_fleet::wire::{Body, MOST_MESSAGE, Stamp, Unfit};
+use gaugestand_record::row::{Batch, Outcome, Work};
+use gaugestand_settings::{Fleet, Lists};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Most nodes of a fleet.
+pub const MOST_MEMBERS: usize = 7;
+/// Connections that have not said yet who they are, and those that have.
+const MOST_GUESTS: usize = 8 + MOST_MEMBERS;
+/// Keys that links are watched under.
+pub const KEYS: usize = MOST_MEMBERS + MOST_GUESTS;
+/// Descriptors that it needs: links, the listener, and the log's file, its log, index, lock and waking socket.
+pub const SOCKETS: usize = KEYS + 1 + 8;
+/// Bytes of the length before each frame.
+const LENGTH: usize = 4;
+/// Bytes that may wait for one fellow; more is dropped.
+const MOST_WAITING: usize = 2 << 20;
+/// Who has not said who it is by then is let go.
+const GREETING: Micros = Micros::millis(2_000);
+/// From the end of a link to the next try to make it; up to half as much again by chance.
+const AGAIN: Micros = Micros::millis(100);
+/// From a write that failed to the next try.
+const WRITE_AGAIN: Micros = Micros::millis(200);
+/// Time between two lines that say the same of a fellow.
+const REPEAT: Micros = Micros::millis(10_000);
+
+/// What the node has to do for the fleet.
+#[derive(Debug)]
+pub enum News {
+    /// Say whether it could act on this content, with [`Fellows::checked`].
+    Check(Asked, Rc<[u8]>, bool),
+    /// Answer the operator who has this ticket.
+    Answer(u64, Result<Version, Refusal>),
+}
+
+/// A connection with another node.
+#[derive(Debug)]
+struct Channel<S: System> {
+    link: Link<S>,
+    since: Micros,
+    greeted: bool,
+    /// Who it is, and which life of it, once it has said so.
+    who: Option<(Member, u64)>,
+}
+
+/// A try that this node has open.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    version: Version,
+    gateway: u64,
+    since: Micros,
+}
+
+/// The fleet, as far as this node reaches it.
+#[derive(Debug)]
+pub struct Fellows<S: System> {
+    system: S,
+    accord: Accord,
+    stamp: Stamp,
+    name: String,
+    members: Vec<(String, SocketAddr)>,
+    lists: gate::Lists,
+    lease: Micros,
+    listener: S::Listener,
+    first_key: usize,
+    /// Links that this node makes, by member; then those that came in.
+    channels: Vec<Option<Channel<S>>>,
+    /// When a link may be made again, by member.
+    again: Vec<Micros>,
+    /// The channel over which a member is spoken to.
+    over: Vec<Option<usize>>,
+    writer: S::Worker,
+    pages: VecDeque<(u64, Page)>,
+    /// The first of them is with the worker.
+    flying: bool,
+    write_again: Micros,
+    steps: VecDeque<Step>,
+    rng: fastrand::Rng,
+    /// The version that the node has put into effect, with its content.
+    applied: Option<Version>,
+    content: Option<Content>,
+    /// A version that is in effect and that this node cannot act on, and why.
+    unusable: Option<(Version, String)>,
+    open: BTreeMap<RequestId, Open>,
+    /// Open tries by gateway.
+    by_gateway: BTreeMap<u64, usize>,
+    said: Option<Micros>,
+}
+
+fn lists(lists: Lists) -> gate::Lists {
+    gate::Lists {
+        barred: matches!(lists, Lists::Barred | Lists::Both),
+        shares: matches!(lists, Lists::Shares | Lists::Both),
+    }
+}
+
+/// What all nodes have to be told alike, as a number: names in their order, times, lists.
+fn fingerprint(fleet: &Fleet) -> u64 {
+    let names: Vec<&str> = fleet.members.iter().map(|m| m.0.as_str()).collect();
+    let told = json!([names, fleet.contradict_ms, fleet.drift_ppm, fleet.lists]).to_string();
+    // FNV-1a: it tells slips of the pen apart, no more.
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    told.bytes().fold(0xcbf2_9ce4_8422_2325, step)
+}
+
+impl<S: System> Fellows<S> {
+    /// Opens the log and listens; links are made by the loop.
+    pub fn start(
+        system: &S,
+        settings: &Fleet,
+        me: &str,
+        seed: u64,
+        (listener_key, writer_key, first_key): (usize, usize, usize),
+    ) -> Result<Self, String> {
+        let at = settings.members.iter().position(|m| m.0 == me);
+        let at = at.ok_or_else(|| format!("fleet: `members` has no {me:?}, which is this node's name"))?;
+        let lease = Micros::millis(settings.contradict_ms);
+        let terms = Terms::new(settings.members.len(), lease, settings.drift_ppm);
+        let terms = terms.map_err(|e| format!("fleet: its times make no sense: {e:?}"))?;
+        let names: Vec<String> = settings.members.iter().map(|m| m.0.clone()).collect();
+        let owner = format!("node {me} of fleet {:?} ({})", settings.name, names.join(", "));
+        let (writer, found) = system.diary(&settings.path, &owner, writer_key)?;
+        let listener = settings.listen.unwrap_or(settings.members[at].1);
+        let listener =
+            system.listen(listener, listener_key).map_err(|e| format!("fleet: {listener}: {e}"))?;
+        let me = at as Member;
+        let stamp = Stamp {
+            fleet: settings.name.clone(),
+            terms: fingerprint(settings),
+            me,
+            members: names.len(),
+            life: found.life,
+        };
+        let (setup, mut steps) = (Setup { me, names, terms, life: found.life }, Vec::new());
+        let accord = Accord::new(system.moment().mono, setup, &found, &mut steps)
+            .map_err(|e| format!("agreed log {}: {e}; nothing was changed", settings.path.display()))?;
+        let members = settings.members.len();
+        Ok(Fellows {
+            system: system.clone(),
+            accord,
+            stamp,
+            name: settings.name.clone(),
+            members: settings.members.clone(),
+            lists: lists(settings.lists),
+            lease,
+            listener,
+            first_key,
+            channels: (0..KEYS).map(|_| None).collect(),
+            again: vec![Micros(0); members],
+            over: vec![None; members],
+            writer,
+            pages: VecDeque::new(),
+            flying: false,
+            write_again: Micros(0),
+            steps: steps.into(),
+            rng: fastrand::Rng::with_seed(seed),
+            applied: None,
+            content: None,
+            unusable: None,
+            open: BTreeMap::new(),
+            by_gateway: BTreeMap::new(),
+            said: None,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.address()
+    }
+
+    /// Whether a key is that of one of its links.
+    pub fn has_key(&self, key: usize) -> bool {
+        (self.first_key..self.first_key + KEYS).contains(&key)
+    }
+
+    // ---- What this node may act on -------------------------------------------------------------------
+
+    /// Whether it has had a version, or the word of a majority that there is none, since its start.
+    pub fn is_ready(&self) -> bool {
+        self.applied.is_some()
+    }
+
+    /// The version to put into effect now, if it is another one than before, with its content; none for version 0.
+    pub fn due(&self, now: Micros) -> Option<(Version, Option<Rc<[u8]>>)> {
+        let Acts::On(version) = self.accord.acts(now) else { return None };
+        let known = self.applied == Some(version) || self.unusable.as_ref().is_some_and(|u| u.0 == version);
+        if known { None } else { Some((version, self.accord.content(version))) }
+    }
+
+    /// The version is in effect in this node from now on, or why it cannot be.
+    pub fn put(&mut self, version: Version, content: Result<Option<Content>, String>) {
+        match content {
+            Ok(content) => {
+                (self.applied, self.content, self.unusable) = (Some(version), content, None);
+                tracing::info!(version, "the fleet's version is in effect");
+            }
+            Err(problem) => {
+                tracing::error!(version, problem, "the fleet's version cannot be acted on here");
+                self.unusable = Some((version, problem));
+            }
+        }
+    }
+
+    /// The settings that are in effect, if a version has any.
+    pub fn settings(&self) -> Option<&Value> {
+        self.content.as_ref().map(|c| &c.settings).filter(|s| !s.is_null())
+    }
+
+    /// What a request gets by this clock, which was read for it.
+    pub fn rule(&self, now: Micros, keyed: bool, subject: Option<u64>, gateway: u64) -> Ruling {
+        let acts = match self.accord.acts(now) {
+            // One that has not been put into effect yet, or cannot be: until then the one before holds without a lease.
+            Acts::On(version) if self.applied != Some(version) => Acts::Within(self.applied.unwrap_or(0)),
+            acts => acts,
+        };
+        let subject = subject.filter(|_| self.lists.barred).map(|s| format!("{s:016x}"));
+        let open = self.by_gateway.get(&gateway).copied().unwrap_or(0);
+        let request = gate::Request { keyed, subject: subject.as_deref(), gateway, open };
+        gate::rule(acts, self.content.as_ref(), self.lists, request)
+    }
+
+    /// After which time a refusal for want of a lease asks to come back: one is had again, or is not, by then.
+    pub fn stay_away(&self) -> Micros {
+        Micros(self.lease.0 / 2)
+    }
+
+    /// A try came in.
+    pub fn taken(&mut self, now: Micros, id: RequestId, gateway: u64) {
+        let version = self.applied.unwrap_or(0);
+        if self.open.insert(id, Open { version, gateway, since: now }).is_none() {
+            *self.by_gateway.entry(gateway).or_default() += 1;
+        }
+    }
+
+    /// Nothing of a try is left.
+    pub fn forget(&mut self, id: RequestId) {
+        let Some(open) = self.open.remove(&id) else { return };
+        if let Some(n) = self.by_gateway.get_mut(&open.gateway) {
+            *n -= 1;
+            if *n == 0 {
+                self.by_gateway.remove(&open.gateway);
+            }
+        }
+    }
+
+    // ---- Operators -----------------------------------------------------------------------------------
+
+    /// An operator proposes a content.
+    pub fn propose(
+        &mut self,
+        now: Micros,
+        ticket: u64,
+        content: Vec<u8>,
+        expect: Option<Version>,
+        force: bool,
+    ) {
+        self.step(now, Event::Propose { ticket, content, expect, force });
+    }
+
+    /// What came of a check.
+    pub fn checked(&mut self, now: Micros, asked: Asked, verdict: Result<(), String>) {
+        self.step(now, Event::Checked(asked, verdict));
+    }
+
+    /// This node leaves service.
+    pub fn leave(&mut self, now: Micros) {
+        self.step(now, Event::Leave);
+    }
+
+    /// Which lists versions may hold.
+    pub fn lists(&self) -> gate::Lists {
+        self.lists
+    }
+
+    /// The content of a version, if it is kept.
+    pub fn content(&self, version: Version) -> Option<Rc<[u8]>> {
+        self.accord.content(version)
+    }
+
+    /// How the fleet stands, as this node sees it.
+    pub fn status(&self, now: Micros) -> Value {
+        let member = |i: usize| {
+            let (me, heard) = (i == usize::from(self.stamp.me), self.over[i].is_some());
+            json!({"name": self.members[i].0, "address": self.members[i].1.to_string(), "me": me, "heard": me || heard})
+        };
+        let members: Vec<Value> = (0..self.members.len()).map(member).collect();
+        let leader = self.accord.leader().and_then(|l| self.members.get(usize::from(l))).map(|m| &m.0);
+        let lease = self.accord.lease().map_or(0, |(_, until)| until.since(now).0 / 1_000);
+        let acts = matches!(self.accord.acts(now), Acts::On(v) if self.applied == Some(v));
+        let mut open: BTreeMap<Version, (usize, u64)> = BTreeMap::new();
+        for o in self.open.values() {
+            let (n, oldest) = open.entry(o.version).or_default();
+            (*n, *oldest) = (*n + 1, (*oldest).max(now.since(o.since).0 / 1_000));
+        }
+        let open: Vec<Value> = open
+            .into_iter()
+            .map(|(version, (n, oldest))| json!({"version": version, "open": n, "oldest_ms": oldest}))
+            .collect();
+        json!({
+            "fleet": self.name, "leader": leader, "term": self.accord.term(), "members": members,
+            "heard": self.accord.heard(), "majority": self.members.len() / 2 + 1,
+            "last": self.accord.last_agreed(), "in_effect": self.applied, "acts": acts, "lease_ms": lease,
+            "unusable": self.unusable.as_ref().map(|(version, why)| json!({"version": version, "why": why})),
+            "unwritten": self.pages.len(), "open": open,
+        })
+    }
+
+    /// Versions that are kept, oldest first, with their sizes.
+    pub fn history(&self) -> Value {
+        let all = self.accord.agreed();
+        all.map(|(version, content)| json!({"version": version, "bytes": content.len()})).collect()
+    }
+
+    // ---- Links ---------------------------------------------------------------------------------------
+
+    /// Takes connections that wait.
+    pub fn accept(&mut self, now: Micros) {
+        for _ in 0..MOST_GUESTS {
+            let guests = MOST_MEMBERS..KEYS;
+            let free = guests.clone().find(|slot| self.channels[*slot].is_none());
+            // Whoever has not said who it is for longest makes room.
+            let quiet = || {
+                let waits = |slot: &usize| self.channels[*slot].as_ref().is_some_and(|c| c.who.is_none());
+                guests.filter(waits).min_by_key(|slot| self.channels[*slot].as_ref().map(|c| c.since))
+            };
+            let Some(slot) = free.or_else(quiet) else { return };
+            self.channels[slot] = None;
+            match self.listener.accept(self.first_key + slot) {
+                Ok(stream) => {
+                    let key = self.first_key + slot;
+                    let link =
+                        Link::accepted(stream, self.members[usize::from(self.stamp.me)].1, key, &self.system);
+                    self.channels[slot] = Some(Channel { link, since: now, greeted: false, who: None });
+                    self.greet(slot);
+                }
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn greet(&mut self, slot: usize) {
+        let hello = self.stamp.hello(env!("CARGO_PKG_VERSION"));
+        if let Some(channel) = self.channels[slot].as_mut().filter(|c| !c.greeted) {
+            channel.greeted = true;
+            channel.link.send(frame(&hello));
+        }
+    }
+
+    /// The poller has something for one of its links.
+    pub fn ready(&mut self, now: Micros, event: Ready, counters: &mut Counters) {
+        let Some(slot) = event.key.checked_sub(self.first_key).filter(|s| *s < KEYS) else { return };
+        let Some(channel) = self.channels[slot].as_mut() else { return };
+        match channel.link.ready(now, event.readable, event.writable) {
+            Some(Change::Up) => {
+                channel.since = now;
+                self.greet(slot);
+            }
+            Some(Change::Broken | Change::Unreachable) => return self.lost(now, slot),
+            None => {}
+        }
+        self.read(now, slot, counters);
+    }
+
+    fn read(&mut self, now: Micros, slot: usize, counters: &mut Counters) {
+        while let Some(channel) = self.channels[slot].as_mut() {
+            let input = channel.link.input();
+            let Some(length) = input.first_chunk::<LENGTH>().map(|l| u32::from_le_bytes(*l) as usize) else {
+                return;
+            };
+            let read = if length > MOST_MESSAGE {
+                Err(Unfit::Unreadable)
+            } else if let Some(message) = input.get(LENGTH..LENGTH + length) {
+                self.stamp.open(message)
+            } else {
+                return;
+            };
+            let taken = read.and_then(|(from, body)| self.hear(now, slot, from, body));
+            match taken {
+                Ok(()) => {
+                    counters.fellow_messages += 1;
+                    if let Some(channel) = self.channels[slot].as_mut() {
+                        channel.link.consume(LENGTH + length);
+                    }
+                }
+                Err(unfit) => {
+                    counters.fellow_unfit += 1;
+                    if self.said.is_none_or(|t| now.since(t) >= REPEAT) {
+                        self.said = Some(now);
+                        tracing::warn!(problem = %unfit, "a link of the fleet is ended");
+                    }
+                    return self.lost(now, slot);
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, now: Micros, slot: usize, from: Member, body: Body) -> Result<(), Unfit> {
+        let Some(channel) = self.channels[slot].as_mut() else { return Ok(()) };
+        match (channel.who, body) {
+            (None, Body::Hello(hello)) => {
+                // A link that this node made leads to one node.
+                if slot < MOST_MEMBERS && slot != usize::from(from) {
+                    return Err(Unfit::Stranger(u32::from(from)));
+                }
+                channel.who = Some((from, hello.life));
+                // The newest link counts: an older one may be half dead.
+                let before = self.over[usize::from(from)].replace(slot);
+                if let Some(before) = before.filter(|b| *b != slot) {
+                    self.channels[before] = None;
+                }
+                tracing::info!(fellow = self.members[usize::from(from)].0, "linked");
+                self.step(now, Event::Linked(from, true));
+                Ok(())
+            }
+            (Some((who, _)), body) if who == from && !matches!(body, Body::Hello(_)) => {
+                self.step(now, Event::Heard(from, body));
+                Ok(())
+            }
+            _ => Err(Unfit::Stale),
+        }
+    }
+
+    /// A channel is gone.
+    fn lost(&mut self, now: Micros, slot: usize) {
+        if slot < MOST_MEMBERS && slot < self.again.len() {
+            self.again[slot] = now.plus(AGAIN).plus(Micros(self.rng.u64(..AGAIN.0 / 2)));
+        }
+        let Some(channel) = self.channels[slot].take() else { return };
+        let Some((who, _)) = channel.who else { return };
+        let over = &mut self.over[usize::from(who)];
+        if *over == Some(slot) {
+            *over = None;
+            tracing::warn!(
+                fellow = self.members[usize::from(who)].0,
+                "its link is gone, which proves nothing"
+            );
+            self.step(now, Event::Linked(who, false));
+        }
+    }
+
+    // ---- The log's file ------------------------------------------------------------------------------
+
+    /// The worker has something.
+    pub fn written(&mut self, now: Micros, counters: &mut Counters) {
+        self.writer.woken();
+        while let Some((number, outcome)) = self.writer.outcome() {
+            if self.pages.front().is_none_or(|p| p.0 != number) {
+                continue;
+            }
+            self.flying = false;
+            match outcome {
+                Outcome::Done => {
+                    self.pages.pop_front();
+                    counters.fleet_pages += 1;
+                    self.step(now, Event::Written(number));
+                }
+                Outcome::NotDone(cause) | Outcome::Unknown(cause) => {
+                    if self.write_again <= now {
+                        tracing::error!(%cause, "the agreed log cannot be written; this node takes no version until it can");
+                    }
+                    self.write_again = now.plus(WRITE_AGAIN);
+                }
+                Outcome::Rows(_) => {}
+            }
+        }
+    }
+
+    fn write(&mut self, now: Micros) {
+        if self.flying || now < self.write_again {
+            return;
+        }
+        if let Some((number, page)) = self.pages.front() {
+            let batch = Batch { number: *number, work: Work::Page(page.clone()) };
+            self.flying = self.writer.submit(batch).is_ok();
+        }
+    }
+
+    // ---- Turns ---------------------------------------------------------------------------------------
+
+    fn step(&mut self, now: Micros, event: Event) {
+        let mut out = Vec::new();
+        self.accord.step(now, event, &mut out);
+        self.steps.extend(out);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Micros) {
+        for member in usize::from(self.stamp.me) + 1..self.members.len() {
+            if self.channels[member].is_none() && now >= self.again[member] {
+                let link = Link::new(self.members[member].1, self.first_key + member, &self.system);
+                self.channels[member] = Some(Channel { link, since: now, greeted: false, who: None });
+                if let Some(channel) = self.channels[member].as_mut()
+                    && channel.link.connect(now).is_some()
+                {
+                    self.lost(now, member);
+                }
+            }
+        }
+        for slot in 0..KEYS {
+            let Some(channel) = self.channels[slot].as_mut() else { continue };
+            let late = channel.who.is_none() && now.since(channel.since) >= GREETING;
+            if late || channel.link.tick(now).is_some() {
+                self.lost(now, slot);
+            }
+        }
+        if self.accord.wake(now) <= now {
+            self.step(now, Event::Tick);
+        }
+        self.write(now);
+    }
+
+    /// What the node has to do; messages and pages are on their way once this says that there is nothing.
+    pub fn news(&mut self, now: Micros, counters: &mut Counters) -> Option<News> {
+        while let Some(step) = self.steps.pop_front() {
+            match step {
+                Step::Send(to, body) => self.send(to, body, counters),
+                Step::Write(number, page) => {
+                    self.pages.push_back((number, page));
+                    self.write(now);
+                }
+                Step::Check(asked, content, force) => return Some(News::Check(asked, content, force)),
+                Step::Agreed(version, _) => tracing::info!(version, "the fleet has agreed on a version"),
+                Step::Answer(ticket, end) => return Some(News::Answer(ticket, end)),
+            }
+        }
+        None
+    }
+
+    fn send(&mut self, to: Member, body: Body, counters: &mut Counters) {
+        let Some(slot) = self.over[usize::from(to)] else { return };
+        let Some(channel) = self.channels[slot].as_mut() else { return };
+        let Some((_, life)) = channel.who else { return };
+        if channel.link.waiting() > MOST_WAITING {
+            counters.fellow_dropped += 1;
+            return;
+        }
+        channel.link.send(frame(&self.stamp.seal(body, life)));
+    }
+
+    /// Ends a turn: writes what can be written.
+    pub fn flush(&mut self, now: Micros) {
+        for slot in 0..KEYS {
+            let Some(channel) = self.channels[slot].as_mut() else { continue };
+            if channel.link.flush(now).is_some() {
+                self.lost(now, slot);
+            }
+        }
+    }
+
+    /// When to look at it again although nothing came.
+    pub fn wake(&self, now: Micros) -> Micros {
+        let links = self.channels.iter().flatten().filter(|c| c.who.is_none());
+        let links = links.map(|c| c.since.plus(GREETING));
+        let again = (usize::from(self.stamp.me) + 1..self.members.len())
+            .filter(|m| self.channels[*m].is_none())
+            .map(|m| self.again[m]);
+        let write = (!self.flying && !self.pages.is_empty()).then_some(self.write_again);
+        let all = links.chain(again).chain(write).chain([self.accord.wake(now)]);
+        all.min().unwrap_or(now)
+    }
+}
+
+/// A message with its length before it.
+fn frame(message: &[u8]) -> Vec<u8> {
+    let mut frame = (message.len() as u32).to_le_bytes().to_vec();
+    frame.extend_from_slice(message);
+    frame
+}
--- a/crates/node/src/io/link.rs
+++ b/crates/node/src/io/link.rs
@@ -65,6 +65,16 @@
         Link { to, key, system, state, retry_at, retry_in, input, output, queued, sent, ended }
     }
 
+    /// A link that the peer made: it is up, and once it is down it stays so.
+    pub fn accepted(stream: S::Stream, from: SocketAddr, key: usize, system: &S) -> Self {
+        Link { state: State::Up(stream), ..Link::new(from, key, system) }
+    }
+
+    /// Bytes that wait to be written.
+    pub fn waiting(&self) -> usize {
+        self.output.len()
+    }
+
     /// The address that it is to.
     pub fn address(&self) -> SocketAddr {
         self.to
--- a/crates/node/src/io/mod.rs
+++ b/crates/node/src/io/mod.rs
@@ -11,6 +11,7 @@
 pub mod real;
 
 use gaugestand_core::facade::Micros;
+use gaugestand_core::page::Found;
 use gaugestand_core::register::Moment;
 use gaugestand_record::row::{Batch, Outcome, Recovery};
 use gaugestand_record::sqlite::Options;
@@ -69,6 +70,8 @@
         most_rows: usize,
         key: usize,
     ) -> Result<(Self::Worker, Recovery), String>;
+    /// Opens a fleet's log in a file, which belongs to this owner, with what an earlier life left in it.
+    fn diary(&self, path: &Path, owner: &str, key: usize) -> Result<(Self::Worker, Found), String>;
     /// Listens for other processes of this node, in place of a socket that nobody answers at.
     fn door(&self, at: &Path, key: usize) -> io::Result<Self::Door>;
     /// Connects to another process of this node.
--- a/crates/node/src/io/real.rs
+++ b/crates/node/src/io/real.rs
@@ -4,7 +4,9 @@
 use super::poll::{Watched, wait};
 use super::{Datagram, Listener, Ready, Stream, System, Worker};
 use gaugestand_core::facade::Micros;
+use gaugestand_core::page::Found;
 use gaugestand_core::register::Moment;
+use gaugestand_record::diary::Diary;
 use gaugestand_record::row::{Batch, Outcome, Recovery};
 use gaugestand_record::sqlite::{Options, Sqlite};
 use gaugestand_record::worker;
@@ -62,6 +64,16 @@
     }
 }
 
+impl Real {
+    /// A thread that does a file's blocking work.
+    fn worker(&self, backend: impl worker::Backend, key: usize) -> io::Result<Thread> {
+        let (ours, theirs) = UnixStream::pair()?;
+        ours.set_nonblocking(true)?;
+        let woken = Pipe(Watched::new(&self.poller, ours, key, true, false)?);
+        Ok(Thread { worker: worker::Worker::start(backend, theirs)?, woken })
+    }
+}
+
 impl System for Real {
     type Stream = Watched<TcpStream>;
     type Listener = Incoming;
@@ -121,13 +133,12 @@
     ) -> Result<(Thread, Recovery), String> {
         let store = Sqlite::open(path, options).map_err(|e| e.to_string())?;
         let found = store.recover(path, most_rows).map_err(|e| e.to_string())?;
-        let start = || {
-            let (ours, theirs) = UnixStream::pair()?;
-            ours.set_nonblocking(true)?;
-            let woken = Pipe(Watched::new(&self.poller, ours, key, true, false)?);
-            Ok(Thread { worker: worker::Worker::start(store, theirs)?, woken })
-        };
-        Ok((start().map_err(|e: io::Error| format!("store of record: {e}"))?, found))
+        Ok((self.worker(store, key).map_err(|e| format!("store of record: {e}"))?, found))
+    }
+
+    fn diary(&self, path: &Path, owner: &str, key: usize) -> Result<(Thread, Found), String> {
+        let (diary, found) = Diary::open(path, owner, &Options::default())?;
+        Ok((self.worker(diary, key).map_err(|e| format!("agreed log: {e}"))?, found))
     }
 
     fn door(&self, at: &Path, key: usize) -> io::Result<Door> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 #[cfg(test)]
 mod cuts;
 pub mod fastcgi;
+pub mod fellows;
 pub mod figures;
 pub mod io;
 pub mod kernel;
--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -8,6 +8,7 @@
 use super::config::Config;
 use super::counters::Counters;
 use super::fastcgi::{self, Record, kind};
+use super::fellows::{self, Fellows};
 use super::figures::{End, Figures};
 use super::io::clock::Clock;
 use super::io::link::Change;
@@ -32,6 +33,7 @@
 use std::{fmt, mem};
 use succeed::Kindred;
 
+mod accord;
 mod succeed;
 
 /// Poller keys; connections follow.
@@ -46,10 +48,13 @@
 const UP: usize = 8;
 const DOWN: usize = 9;
 const TURNED_AWAY: usize = 10;
+const DIARY: usize = 11;
 const INHERITED: usize = 12;
 const FIRST_CALLER: usize = 16;
 const FIRST_LANE: usize = FIRST_CALLER + admin::MOST_CALLERS;
-const FIRST_CONN: usize = FIRST_LANE + store::MOST_LANES;
+const FELLOW_LISTENER: usize = FIRST_LANE + store::MOST_LANES;
+const FIRST_FELLOW: usize = FELLOW_LISTENER + 1;
+const FIRST_CONN: usize = FIRST_FELLOW + fellows::KEYS;
 
 /// Longest wait for the poller, so that a clock that was set wrong is noticed.
 const LONGEST_WAIT: Micros = Micros::millis(1_000);
@@ -66,6 +71,8 @@
     Settings(SettingsError),
     /// The store of record cannot be used.
     Record(String),
+    /// The fleet cannot be joined.
+    Fleet(String),
 }
 
 impl fmt::Display for NodeError {
@@ -73,7 +80,7 @@
         match self {
             NodeError::Io(what, e) => write!(f, "{what}: {e}"),
             NodeError::Settings(e) => e.fmt(f),
-            NodeError::Record(problem) => f.write_str(problem),
+            NodeError::Record(problem) | NodeError::Fleet(problem) => f.write_str(problem),
         }
     }
 }
@@ -114,6 +121,12 @@
     stop: Option<Micros>,
     /// It drains.
     leaving: bool,
+    /// The nodes that agree on versions with this one, where there are any.
+    fellows: Option<Box<Fellows<S>>>,
+    /// The settings of the node's own file, while a version has others.
+    local: serde_json::Value,
+    /// Ends of requests by class at two moments, for the present load.
+    pace: accord::Pace,
 }
 
 /// The earliest of these, or the longest wait. Nothing is looked at again at once: what is overdue then waits for
@@ -140,8 +153,12 @@
         ledger.set_most(config.most_kept);
         let others = lanes
             + if ledger.is_durable() { record::SOCKETS } else { 0 }
-            + if config.admin.is_some() { admin::SOCKETS } else { 0 };
-        let admin = Admin::listen(&system, config.admin, ADMIN, FIRST_CALLER)
+            + if config.admin.is_some() { admin::SOCKETS } else { 0 }
+            + if config.operators.fleet.is_some() { fellows::SOCKETS } else { 0 };
+        let keys = (FELLOW_LISTENER, DIARY, FIRST_FELLOW);
+        let join = |fleet| Fellows::start(&system, fleet, &config.name, config.seed, keys).map(Box::new);
+        let fellows = config.operators.fleet.as_ref().map(join).transpose().map_err(NodeError::Fleet)?;
+        let admin = Admin::listen(&system, config.admin, ADMIN, FIRST_CALLER, fellows.is_some())
             .map_err(io_error("listening at the second address"))?;
         let mut figures = Figures::default();
         figures.list(&config.classes);
@@ -173,6 +190,9 @@
             reload: system.signals(RELOAD, &[SIGHUP]).map_err(io_error("signals"))?,
             stop: None,
             leaving: false,
+            fellows,
+            local: config.file["settings"].clone(),
+            pace: accord::Pace::default(),
             config,
             system,
             table,
@@ -191,6 +211,11 @@
         self.admin.address()
     }
 
+    /// The address at which other nodes of its fleet reach it.
+    pub fn fellows_address(&self) -> Option<std::net::SocketAddr> {
+        self.fellows.as_ref().and_then(|f| f.address())
+    }
+
     /// Turns until the end of a drain.
     pub fn run(&mut self) -> Result<(), NodeError> {
         let mut ready = Vec::new();
@@ -267,6 +292,7 @@
         for (conn, fcgi) in look.unfinished {
             self.fail_unread(conn, fcgi, Fault::Unfinished);
         }
+        self.pass_fleet();
         let mut verdicts = Vec::new();
         let mut wake = vec![self.facade.tick(self.clock.moment(), &mut verdicts)];
         self.carry_out(verdicts);
@@ -274,7 +300,7 @@
         if self.stop.is_some_and(|stop| now.plus(STOP_LISTENING) >= stop) {
             self.table.stop_listening();
         }
-        let up = self.facade.healthy();
+        let up = self.facade.healthy() && self.knows_the_version();
         if self.facade.is_up() {
             wake.push(self.members.tick(now, up, &mut self.counters));
         }
@@ -290,6 +316,7 @@
             self.admin.wake(),
             self.kin.wake(),
             leaving,
+            self.fellows.as_ref().map(|f| f.wake(now)),
         ]);
         next_turn(now, wake)
     }
@@ -312,6 +339,9 @@
             self.connections_gone(gone);
         }
         self.flush_kin();
+        if let Some(fellows) = &mut self.fellows {
+            fellows.flush(now);
+        }
         let now = self.clock.moment();
         self.record.flush(now, self.facade.register());
     }
@@ -348,11 +378,13 @@
             }
             ADMIN => self.admin.accept(now),
             key if self.admin.has_key(key) => {
-                if let Some((place, said)) = self.admin.ready(event) {
-                    let answer = self.tell(said);
+                if let Some((place, said)) = self.admin.ready(event)
+                    && let Some(answer) = self.tell(place, said)
+                {
                     self.admin.answer(place, answer);
                 }
             }
+            key if accord::is_key(key) => self.take_fleet(event),
             key if self.store.has_key(key) => {
                 let ended = self.store.ready(now, event, &mut self.counters);
                 self.calls_ended(ended);
@@ -385,12 +417,15 @@
         let notice = Micros(stop.0.saturating_sub(self.config.stop.0));
         // All is answered some time before the end, so that it is also written by then.
         let by = Micros(stop.0.saturating_sub(STOP_LISTENING.0));
+        if let Some(fellows) = &mut self.fellows {
+            fellows.leave(self.clock.now());
+        }
         self.report(Report::Drain { notice, stop: by });
     }
 
     /// A new configuration takes effect whole, or the old one stays.
     fn take_configuration(&mut self) {
-        let new = config::reload(&self.config).map_err(|e| e.to_string());
+        let new = self.read_configuration();
         let moved = new.and_then(|new| {
             // Of all steps only these can fail: they come first, and the last one of them is the first to take effect.
             let admin = self.admin.prepare(new.admin).map_err(|e| format!("admin_addr: {e}"))?;
@@ -443,8 +478,10 @@
 
     // ---- The second address --------------------------------------------------------------------------
 
-    fn tell(&mut self, said: Said) -> String {
-        match said {
+    /// What a caller is answered, unless that comes later.
+    fn tell(&mut self, place: usize, said: Said) -> Option<String> {
+        Some(match said {
+            Said::Whole(Call::Fleet(words)) => return self.tell_of_fleet(place, &words),
             Said::Whole(Call::Ping) => match self.takes_clients() {
                 Ok(()) => "done\n".into(),
                 Err(why) => format!("error {why}\n"),
@@ -459,7 +496,7 @@
             }
             Said::Wrong(why) => format!("error {why}\n"),
             Said::Part => "error no line\n".into(),
-        }
+        })
     }
 
     /// Whether requests that come now are taken by this process, or why not.
@@ -475,6 +512,7 @@
             (self.table.address().is_some(), "it does not listen"),
             (up, "its kernel is not up"),
             (self.facade.register().is_ready(), "keys are not in place"),
+            (self.knows_the_version(), "no majority has told it which version holds"),
         ];
         steps.into_iter().find(|step| !step.0).map_or(Ok(()), |(_, why)| Err(why))
     }
@@ -598,6 +636,11 @@
     }
 
     fn pick(&mut self, conn: ConnId, fcgi: u16, keeps: bool, t: TryParams, body: Vec<u8>) {
+        if let Some(refusal) = self.fleet_refuses(&t) {
+            self.counters.answers_refused += 1;
+            self.figures.turned_down(self.slots.name(t.class), End::Overload);
+            return self.respond(conn, fcgi, keeps, &refusal);
+        }
         let arrival = Arrival {
             id: t.id,
             class: t.class,
@@ -633,6 +676,9 @@
         let (id, class) = (t.id, t.class);
         let place = Place { id, conn, fcgi, class, body, call: Vec::new(), call_notice: 0, open: true };
         self.tries.insert(t.id, place);
+        if let Some(fellows) = &mut self.fellows {
+            fellows.taken(self.clock.now(), t.id, t.router);
+        }
         self.carry_out(verdicts);
     }
 
@@ -702,7 +748,7 @@
 
     fn check(&mut self, conn: ConnId, fcgi: u16, keeps: bool, deep: bool) {
         self.counters.checks_read += 1;
-        let good = self.facade.healthy();
+        let good = self.facade.healthy() && self.knows_the_version();
         if !(good && deep) {
             return self.answer_check(conn, fcgi, keeps, good);
         }
@@ -888,6 +934,9 @@
                 Verdict::Forget(id) => {
                     self.tries.remove(&id);
                     self.store.forget(id);
+                    if let Some(fellows) = &mut self.fellows {
+                        fellows.forget(id);
+                    }
                 }
                 Verdict::Gauge => {
                     self.kernel.ask();
--- /dev/null
+++ b/crates/node/src/turn/accord.rs
@@ -0,0 +1,257 @@
+//! The loop's part in what the fleet agrees on: its links and pages, the version in effect, what requests get under it, and
+//! operators' calls about it.
+
+use super::{Config, DIARY, FELLOW_LISTENER, FIRST_FELLOW, Node, Ready, System, config};
+use crate::answer::Response;
+use crate::fellows::{self, News};
+use crate::request::TryParams;
+use gaugestand_core::facade::Micros;
+use gaugestand_core::register::Register as _;
+use gaugestand_core::{Effect, Span};
+use gaugestand_fleet::accord::Refusal;
+use gaugestand_fleet::differ::Content;
+use gaugestand_fleet::effect::Version;
+use gaugestand_fleet::gate::{self, Ruling};
+use gaugestand_fleet::sound::{Class, Load, Problem, Room, problem};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Over how long the present load is counted.
+const PACE: Micros = Micros::millis(10_000);
+/// Share of the memory for requests that keys may take, as the decisions have it.
+const KEYS_SHARE: f64 = 0.5;
+
+/// Whether a key of the poller is the fleet's.
+pub(super) fn is_key(key: usize) -> bool {
+    key == DIARY || (FELLOW_LISTENER..FIRST_FELLOW + fellows::KEYS).contains(&key)
+}
+
+/// Requests by class, as they were counted at two moments.
+#[derive(Debug, Default)]
+pub(super) struct Pace {
+    before: Option<(Micros, BTreeMap<String, u64>)>,
+    last: Option<(Micros, BTreeMap<String, u64>)>,
+}
+
+impl Pace {
+    /// Counts now, if that is due.
+    fn note(&mut self, now: Micros, count: impl FnOnce() -> BTreeMap<String, u64>) {
+        if self.last.as_ref().is_none_or(|l| now.since(l.0) >= PACE) {
+            self.before = self.last.replace((now, count()));
+        }
+    }
+
+    /// Requests a second since the earlier of the two counts.
+    fn load(&self, now: Micros, counts: &BTreeMap<String, u64>) -> Vec<Load> {
+        let Some((since, was)) = self.before.as_ref().or(self.last.as_ref()) else { return Vec::new() };
+        let secs = (now.since(*since).0 as f64 / 1e6).max(1.0);
+        let rate = |(name, n): (&String, &u64)| {
+            let more = n.saturating_sub(was.get(name).copied().unwrap_or(0));
+            Load { name: name.clone(), rate: more as f64 / secs }
+        };
+        counts.iter().map(rate).collect()
+    }
+}
+
+/// The classes of a configuration, as a version is looked at.
+fn classes(config: &Config) -> Vec<Class> {
+    let secs = |s: Span| s.0 as f64 / 1e9;
+    let of = |(name, c): (&String, &gaugestand_core::Class)| Class {
+        name: name.clone(),
+        keyed: c.effect == Effect::Keyed,
+        window_s: secs(c.dedup_window),
+        worth: c.worth,
+    };
+    config.classes.iter().zip(&config.settings.classes).map(of).collect()
+}
+
+/// Reads a version's content.
+fn content_of(bytes: &[u8]) -> Result<Content, String> {
+    serde_json::from_slice(bytes).map_err(|e| format!("its content cannot be read: {e}"))
+}
+
+impl<S: System> Node<S> {
+    /// Whether this node knows which version holds, or is on its own.
+    pub(super) fn knows_the_version(&self) -> bool {
+        self.fellows.as_ref().is_none_or(|f| f.is_ready())
+    }
+
+    pub(super) fn take_fleet(&mut self, event: Ready) {
+        let now = self.clock.now();
+        let Some(fellows) = &mut self.fellows else { return };
+        match event.key {
+            DIARY => fellows.written(now, &mut self.counters),
+            FELLOW_LISTENER => fellows.accept(now),
+            _ => fellows.ready(now, event, &mut self.counters),
+        }
+    }
+
+    /// What is due by now: messages, pages, checks, the version in effect.
+    pub(super) fn pass_fleet(&mut self) {
+        let now = self.clock.now();
+        let Some(fellows) = &mut self.fellows else { return };
+        fellows.tick(now);
+        if let Some((version, bytes)) = fellows.due(now) {
+            let put = self.put_into_effect(bytes.as_deref());
+            if let Some(fellows) = &mut self.fellows {
+                fellows.put(version, put);
+            }
+        }
+        while let Some(news) = self.fellows.as_mut().and_then(|f| f.news(now, &mut self.counters)) {
+            match news {
+                News::Check(asked, bytes, force) => {
+                    let verdict = self.could_act(&bytes, force);
+                    if let Some(fellows) = &mut self.fellows {
+                        fellows.checked(now, asked, verdict);
+                    }
+                }
+                News::Answer(caller, end) => self.admin.answer_later(caller, answer(end)),
+            }
+        }
+        let (pace, figures, names) = (&mut self.pace, &self.figures, &self.config.classes);
+        pace.note(now, || counts(figures, names));
+    }
+
+    /// Puts a version's settings in the place of the present ones, or says why they cannot be.
+    fn put_into_effect(&mut self, bytes: Option<&[u8]>) -> Result<Option<Content>, String> {
+        let content = bytes.map(content_of).transpose()?;
+        let settings = content.as_ref().map_or(&Value::Null, |c| &c.settings);
+        let new = config::with_settings(&self.config, &self.local, settings).map_err(|e| e.to_string())?;
+        if new.file["settings"] != self.config.file["settings"] {
+            self.config = new;
+            self.take_settings();
+        }
+        Ok(content)
+    }
+
+    /// Whether this node could act on a content.
+    fn could_act(&mut self, bytes: &[u8], force: bool) -> Result<(), String> {
+        let content = content_of(bytes)?;
+        let lists = self.fellows.as_ref().map(|f| f.lists()).unwrap_or_default();
+        if let Some(name) = gate::unknown_list(&content, lists) {
+            return Err(format!(
+                "lists.{name}: fleet(lists = ...) of this node does not name lists of that form"
+            ));
+        }
+        let new = config::with_settings(&self.config, &self.local, &content.settings);
+        let new = new.map_err(|e| e.to_string())?;
+        config::follows(&self.config, &new).map_err(|e| e.to_string())?;
+        let load = self.pace.load(self.clock.now(), &counts(&self.figures, &self.config.classes));
+        let s = &self.config.settings;
+        let room = Room { keys_kb: KEYS_SHARE * s.memory_kb, key_kb: s.key_kb };
+        match problem(&classes(&self.config), &classes(&new), &load, room) {
+            None => Ok(()),
+            Some(Problem::Starves(_)) if force => Ok(()),
+            Some(Problem::Starves(why)) => Err(format!("{why}; --force if that is meant")),
+            Some(Problem::Unfit(why)) => Err(why),
+        }
+    }
+
+    /// The configuration read again. What the fleet agrees on is not this file's to change.
+    pub(super) fn read_configuration(&mut self) -> Result<Config, String> {
+        if self.fellows.is_none() {
+            return config::reload(&self.config).map_err(|e| e.to_string());
+        }
+        let own =
+            config::with_settings(&self.config, &self.local, &Value::Null).map_err(|e| e.to_string())?;
+        let new = config::reload(&own).map_err(|e| e.to_string())?;
+        let agreed = self.fellows.as_ref().and_then(|f| f.settings()).cloned();
+        let is = &new.file["settings"];
+        let Some(agreed) = agreed else {
+            self.local = is.clone();
+            return Ok(new);
+        };
+        // What is the node's own may change; the rest would change nothing here, and be in the file all the same.
+        let shared = |v: &Value| {
+            let mut v = v.clone();
+            v.as_object_mut().map(|v| v.remove("extra"));
+            v
+        };
+        if shared(is) != shared(&self.local) {
+            return Err("settings: are the fleet's; 'gaugestand fleet propose' changes them".into());
+        }
+        self.local = is.clone();
+        config::with_settings(&new, &self.local, &agreed).map_err(|e| e.to_string())
+    }
+
+    /// What a try is refused with for what the fleet agrees on, or may have agreed on. A repeat of what has run here is not:
+    /// it gets its result and never runs.
+    pub(super) fn fleet_refuses(&mut self, t: &TryParams) -> Option<Response<'static>> {
+        let fellows = self.fellows.as_ref()?;
+        // This request's own clock: the turn may have begun before a pause.
+        let moment = self.system.moment();
+        let keyed = t.repeat_key.as_deref();
+        let ruling = fellows.rule(moment.mono, keyed.is_some(), t.row, t.router);
+        let (give_up, throttle) = match ruling {
+            Ruling::Pass => return None,
+            Ruling::Barred => (true, Micros(0)),
+            Ruling::OverShare | Ruling::NoLease => (false, fellows.stay_away()),
+        };
+        if keyed.is_some_and(|key| self.facade.register().knows(key, moment)) {
+            return None;
+        }
+        let count = match ruling {
+            Ruling::NoLease => &mut self.counters.fleet_unleased,
+            _ => &mut self.counters.fleet_barred,
+        };
+        *count += 1;
+        let (status, capacity) = ("503 Service Unavailable", self.facade.capacity());
+        Some(Response { status, capacity, throttle, give_up, body: Rc::from([]) })
+    }
+
+    // ---- Operators -----------------------------------------------------------------------------------
+
+    /// A call about the fleet; answered later if that takes others.
+    pub(super) fn tell_of_fleet(&mut self, place: usize, words: &str) -> Option<String> {
+        let now = self.clock.now();
+        let caller = self.admin.caller(place)?;
+        let Some(fellows) = &mut self.fellows else { return Some("error there is no fleet\n".into()) };
+        let mut words = words.splitn(4, ' ');
+        let (call, first) = (words.next().unwrap_or_default(), words.next());
+        let number = |word: Option<&str>| word.and_then(|w| w.parse::<Version>().ok());
+        let kept = |version: Option<Version>| version.and_then(|v| fellows.content(v));
+        let said = match (call, first) {
+            ("STATUS", None) => Ok(fellows.status(now).to_string()),
+            ("HISTORY", None) => Ok(fellows.history().to_string()),
+            ("SHOW", version) => kept(number(version))
+                .map(|c| String::from_utf8_lossy(&c).into_owned())
+                .ok_or("no such version is kept"),
+            ("ROLLBACK", version) => match kept(number(version)) {
+                Some(content) => {
+                    let force = words.next() == Some("force");
+                    fellows.propose(now, caller, content.to_vec(), None, force);
+                    return None;
+                }
+                None => Err("no such version is kept"),
+            },
+            ("PROPOSE", expect) => {
+                let (force, content) = (words.next() == Some("force"), words.next().unwrap_or_default());
+                let expect = expect.filter(|w| *w != "-");
+                if expect.is_some() && number(expect).is_none() || content.is_empty() {
+                    return Some("error PROPOSE takes a version or -, force or -, and the content\n".into());
+                }
+                fellows.propose(now, caller, content.into(), number(expect), force);
+                return None;
+            }
+            _ => Err("there are STATUS, HISTORY, SHOW, PROPOSE and ROLLBACK"),
+        };
+        Some(said.map_or_else(|why| format!("error {why}\n"), |said| format!("done {said}\n")))
+    }
+}
+
+/// Requests of each class that have been answered.
+fn counts(figures: &crate::figures::Figures, names: &[String]) -> BTreeMap<String, u64> {
+    let all = |name: &String| {
+        let ends = figures.of(name);
+        (name.clone(), ends.success + ends.overload + ends.error)
+    };
+    names.iter().map(all).collect()
+}
+
+fn answer(end: Result<Version, Refusal>) -> String {
+    match end {
+        Ok(version) => format!("done {}\n", json!({"version": version})),
+        Err(why) => format!("error {why}\n"),
+    }
+}
--- a/crates/node/src/turn/succeed.rs
+++ b/crates/node/src/turn/succeed.rs
@@ -73,6 +73,9 @@
     if config.operators.record.is_some() {
         return Err("a store of record has one writer");
     }
+    if config.operators.fleet.is_some() {
+        return Err("a fleet's log has one writer");
+    }
     let folder = std::env::var_os("TMPDIR").filter(|d| !d.is_empty()).ok_or("TMPDIR is not set")?;
     let name: String = config.name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
     let at = config.listen.to_string().replace(|c: char| !c.is_ascii_alphanumeric(), "_");
--- a/crates/record/src/ledger.rs
+++ b/crates/record/src/ledger.rs
@@ -639,6 +639,10 @@
         }
     }
 
+    fn knows(&self, key: &str, at: Moment) -> bool {
+        self.keys.get(key).is_some_and(|e| at.is_before(e.until))
+    }
+
     fn keep(&mut self, key: &Rc<str>, id: RequestId, print: u128, until: Moment) -> Vec<RequestId> {
         self.mark(key);
         let phase = Phase::Held;
--- a/crates/record/src/postgres.rs
+++ b/crates/record/src/postgres.rs
@@ -281,6 +281,8 @@
         let node = self.login.node.clone();
         let (mut asks, mut unguarded) = (false, false);
         match &batch.work {
+            // An agreed log is a file's alone.
+            Work::Page(_) => return Ok(false),
             Work::Ask(keys) => {
                 asks = true;
                 for key in keys {
--- a/crates/record/src/row.rs
+++ b/crates/record/src/row.rs
@@ -1,5 +1,6 @@
 //! What the ledger and the backends say to each other: rows, writes, batches and how they ended.
 
+use gaugestand_core::page::Page;
 use std::fmt;
 
 /// What a row says of its key.
@@ -104,6 +105,8 @@
     Commit(Vec<Write>),
     /// Read the rows of these keys.
     Ask(Vec<String>),
+    /// Make this durable, whole; of an agreed log.
+    Page(Page),
 }
 
 /// Work with its number, so that an answer to an earlier one is not taken for its own.
--- a/crates/record/src/sqlite.rs
+++ b/crates/record/src/sqlite.rs
@@ -12,10 +12,18 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// "gstd": what says that a file is a store of record.
-const APPLICATION: i64 = 0x6773_7464;
-/// The steps from an empty file to the present version; a file's version says how many it has taken.
-const MIGRATIONS: &[&str] = &["
+/// What a kind of file is known by, and how it is made.
+pub(crate) struct Form {
+    /// The number that its files carry.
+    pub(crate) application: i64,
+    /// The steps from an empty file to the present version; a file's version says how many it has taken.
+    pub(crate) migrations: &'static [&'static str],
+}
+
+/// "gstd": a store of record.
+const RECORD: Form = Form {
+    application: 0x6773_7464,
+    migrations: &["
     CREATE TABLE life(one INTEGER PRIMARY KEY CHECK(one = 1), epoch INTEGER NOT NULL, beat INTEGER NOT NULL) STRICT;
     INSERT INTO life VALUES(1, 0, 0);
     CREATE TABLE record(
@@ -31,7 +39,8 @@
         CHECK((state = 1) = (result IS NOT NULL))
     ) STRICT;
     PRAGMA application_id = 0x67737464;
-"];
+"],
+};
 /// How long the start waits for a lock that another connection holds.
 const START_WAIT: Duration = Duration::from_millis(500);
 /// Memory for pages, in KiB: half of what a node of 32 MB can spare.
@@ -50,8 +59,8 @@
     Locked(PathBuf),
     /// It is of another program.
     Foreign(PathBuf),
-    /// It was made by a newer version.
-    Newer(PathBuf, i64),
+    /// It was made by a newer version; this program knows so many.
+    Newer(PathBuf, i64, usize),
     /// It cannot be read.
     Damaged(PathBuf, String),
     /// Anything else.
@@ -82,12 +91,11 @@
                 "store of record {}: is a file of another program; give another path, {unchanged}",
                 path.display()
             ),
-            OpenError::Newer(path, version) => write!(
+            OpenError::Newer(path, version, known) => write!(
                 f,
-                "store of record {}: is of version {version}, this program knows up to {}; use the newer program, \
+                "store of record {}: is of version {version}, this program knows up to {known}; use the newer program, \
                  {unchanged}",
-                path.display(),
-                MIGRATIONS.len()
+                path.display()
             ),
             OpenError::Damaged(path, what) => write!(
                 f,
@@ -101,7 +109,7 @@
 
 impl std::error::Error for OpenError {}
 
-fn open_error(path: &Path, e: &rusqlite::Error) -> OpenError {
+pub(crate) fn open_error(path: &Path, e: &rusqlite::Error) -> OpenError {
     let path = path.to_path_buf();
     match e.sqlite_error_code() {
         Some(ErrorCode::DatabaseBusy | ErrorCode::DatabaseLocked) => OpenError::Locked(path),
@@ -151,17 +159,17 @@
 }
 
 /// Looks at a file without changing it: the number of migrations that it has taken.
-fn version(path: &Path, connection: &Connection) -> Result<i64, OpenError> {
+fn version(form: &Form, path: &Path, connection: &Connection) -> Result<i64, OpenError> {
     let err = |e: rusqlite::Error| open_error(path, &e);
     let get = |name: &str| connection.pragma_query_value(None, name, |r| r.get::<_, i64>(0)).map_err(err);
     let (application, version) = (get("application_id")?, get("user_version")?);
     let tables: i64 =
         connection.query_row("SELECT count(*) FROM sqlite_schema", [], |r| r.get(0)).map_err(err)?;
-    if application != APPLICATION && (tables > 0 || version != 0) {
+    if application != form.application && (tables > 0 || version != 0) {
         return Err(OpenError::Foreign(path.to_path_buf()));
     }
-    if version > MIGRATIONS.len() as i64 {
-        return Err(OpenError::Newer(path.to_path_buf(), version));
+    if version > form.migrations.len() as i64 {
+        return Err(OpenError::Newer(path.to_path_buf(), version, form.migrations.len()));
     }
     Ok(version)
 }
@@ -176,13 +184,17 @@
 
 /// Opens a store to look at it: nothing of it can be changed, and a node may serve from it meanwhile.
 pub fn look(path: &Path) -> Result<Connection, OpenError> {
+    look_at(&RECORD, path)
+}
+
+fn look_at(form: &Form, path: &Path) -> Result<Connection, OpenError> {
     if !path.exists() {
         return Err(OpenError::Path(path.to_path_buf(), io::ErrorKind::NotFound.into()));
     }
     let flags = OpenFlags::SQLITE_OPEN_READ_ONLY | OpenFlags::SQLITE_OPEN_NO_MUTEX;
     let connection = Connection::open_with_flags(path, flags).map_err(|e| open_error(path, &e))?;
     connection.busy_timeout(START_WAIT).map_err(|e| open_error(path, &e))?;
-    version(path, &connection)?;
+    version(form, path, &connection)?;
     Ok(connection)
 }
 
@@ -203,43 +215,52 @@
     }
 }
 
+/// From here on a lock is the file's user's matter: it waits and tries again without holding its thread.
+pub(crate) fn serve(path: &Path, connection: &Connection) -> Result<(), OpenError> {
+    connection.busy_timeout(Duration::ZERO).map_err(|e| open_error(path, &e))
+}
+
+/// Opens a file for this process alone, makes it if there is none, and brings it to the present version.
+pub(crate) fn take(form: &Form, path: &Path, options: &Options) -> Result<(Connection, File), OpenError> {
+    let lock = own(path)?;
+    if std::fs::metadata(path).is_ok_and(|m| m.len() > 0) {
+        // All that can be wrong with a file is found out while it cannot be changed.
+        sound(path, &look_at(form, path)?)?;
+    }
+    let err = |e: rusqlite::Error| open_error(path, &e);
+    let flags =
+        OpenFlags::SQLITE_OPEN_READ_WRITE | OpenFlags::SQLITE_OPEN_CREATE | OpenFlags::SQLITE_OPEN_NO_MUTEX;
+    let mut connection = Connection::open_with_flags(path, flags).map_err(err)?;
+    connection.busy_timeout(START_WAIT).map_err(err)?;
+    let pragma = |c: &Connection, name: &str, value: &dyn rusqlite::ToSql| {
+        c.pragma_update(None, name, value).map_err(err)
+    };
+    pragma(&connection, "journal_mode", &"WAL")?;
+    pragma(&connection, "synchronous", &if options.extra { "EXTRA" } else { "FULL" })?;
+    pragma(&connection, "cache_size", &(-CACHE_KIB))?;
+    pragma(&connection, "journal_size_limit", &LOG_BYTES)?;
+    pragma(&connection, "temp_store", &"MEMORY")?;
+    if options.most_pages > 0 {
+        pragma(&connection, "max_page_count", &options.most_pages)?;
+    }
+    let taken = version(form, path, &connection)?;
+    for (i, step) in form.migrations.iter().enumerate().skip(taken as usize) {
+        let t = connection.transaction().map_err(err)?;
+        t.execute_batch(step).map_err(err)?;
+        t.pragma_update(None, "user_version", i as i64 + 1).map_err(err)?;
+        t.commit().map_err(err)?;
+    }
+    Ok((connection, lock))
+}
+
 impl Sqlite {
     /// Opens a store, makes it if there is none, and counts one more life of it.
     pub fn open(path: &Path, options: &Options) -> Result<Self, OpenError> {
-        let lock = own(path)?;
-        if std::fs::metadata(path).is_ok_and(|m| m.len() > 0) {
-            // All that can be wrong with a file is found out while it cannot be changed.
-            sound(path, &look(path)?)?;
-        }
-        let err = |e: rusqlite::Error| open_error(path, &e);
-        let flags = OpenFlags::SQLITE_OPEN_READ_WRITE
-            | OpenFlags::SQLITE_OPEN_CREATE
-            | OpenFlags::SQLITE_OPEN_NO_MUTEX;
-        let mut connection = Connection::open_with_flags(path, flags).map_err(err)?;
-        connection.busy_timeout(START_WAIT).map_err(err)?;
-        let pragma = |c: &Connection, name: &str, value: &dyn rusqlite::ToSql| {
-            c.pragma_update(None, name, value).map_err(err)
-        };
-        pragma(&connection, "journal_mode", &"WAL")?;
-        pragma(&connection, "synchronous", &if options.extra { "EXTRA" } else { "FULL" })?;
-        pragma(&connection, "cache_size", &(-CACHE_KIB))?;
-        pragma(&connection, "journal_size_limit", &LOG_BYTES)?;
-        pragma(&connection, "temp_store", &"MEMORY")?;
-        if options.most_pages > 0 {
-            pragma(&connection, "max_page_count", &options.most_pages)?;
-        }
-        let taken = version(path, &connection)?;
-        for (i, step) in MIGRATIONS.iter().enumerate().skip(taken as usize) {
-            let t = connection.transaction().map_err(err)?;
-            t.execute_batch(step).map_err(err)?;
-            t.pragma_update(None, "user_version", i as i64 + 1).map_err(err)?;
-            t.commit().map_err(err)?;
-        }
+        let (connection, lock) = take(&RECORD, path, options)?;
         let epoch: i64 = connection
             .query_row("UPDATE life SET epoch = epoch + 1 RETURNING epoch", [], |r| r.get(0))
-            .map_err(err)?;
-        // From here on a lock is the ledger's matter: it waits and tries again without holding this thread.
-        connection.busy_timeout(Duration::ZERO).map_err(err)?;
+            .map_err(|e| open_error(path, &e))?;
+        serve(path, &connection)?;
         Ok(Sqlite { connection, _lock: lock, epoch: epoch as u64 })
     }
 
@@ -261,26 +282,13 @@
         match work {
             Work::Commit(writes) => self.commit(writes),
             Work::Ask(keys) => self.ask(keys).map_or_else(|e| Outcome::NotDone(cause(&e)), Outcome::Rows),
+            // That is another file's.
+            Work::Page(_) => Outcome::NotDone(Cause::Other),
         }
     }
 
     fn commit(&mut self, writes: &[Write]) -> Outcome {
-        // An immediate transaction takes the lock first: one that is busy has done nothing.
-        if let Err(e) = self.connection.execute_batch("BEGIN IMMEDIATE") {
-            return Outcome::NotDone(cause(&e));
-        }
-        let made = writes.iter().try_for_each(|w| self.make(w));
-        let done = made
-            .map_err(|e| (e, false))
-            .and_then(|()| self.connection.execute_batch("COMMIT").map_err(|e| (e, true)));
-        let Err((e, at_commit)) = done else { return Outcome::Done };
-        // Some errors have rolled back already; then this one is refused, and nothing is open either way.
-        let _ = self.connection.execute_batch("ROLLBACK");
-        match cause(&e) {
-            // What went wrong while the commit was under way may have come after the point of no return.
-            cause if at_commit && cause != Cause::Busy => Outcome::Unknown(cause),
-            cause => Outcome::NotDone(cause),
-        }
+        transaction(&self.connection, || writes.iter().try_for_each(|w| self.make(w)))
     }
 
     fn make(&self, write: &Write) -> rusqlite::Result<()> {
@@ -337,6 +345,24 @@
     }
 }
 
+/// Makes changes durable, all of them or none.
+pub(crate) fn transaction(connection: &Connection, make: impl FnOnce() -> rusqlite::Result<()>) -> Outcome {
+    // An immediate transaction takes the lock first: one that is busy has done nothing.
+    if let Err(e) = connection.execute_batch("BEGIN IMMEDIATE") {
+        return Outcome::NotDone(cause(&e));
+    }
+    let made = make().map_err(|e| (e, false));
+    let done = made.and_then(|()| connection.execute_batch("COMMIT").map_err(|e| (e, true)));
+    let Err((e, at_commit)) = done else { return Outcome::Done };
+    // Some errors have rolled back already; then this one is refused, and nothing is open either way.
+    let _ = connection.execute_batch("ROLLBACK");
+    match cause(&e) {
+        // What went wrong while the commit was under way may have come after the point of no return.
+        cause if at_commit && cause != Cause::Busy => Outcome::Unknown(cause),
+        cause => Outcome::NotDone(cause),
+    }
+}
+
 const COLUMNS: &str = "SELECT key, holder, print, ran, until, stamp, state, result, sum FROM record";
 
 /// What shows that a row is as it was written: a damaged page can hold a value that SQLite finds nothing wrong with.
--- /dev/null
+++ b/crates/record/tests/diary.rs
@@ -0,0 +1,112 @@
+//! A fleet's log on disk: what is written is found, and a file that is not this node's, or not whole, is left alone.
+
+use gaugestand_core::page::Page;
+use gaugestand_record::diary::Diary;
+use gaugestand_record::row::Outcome;
+use gaugestand_record::sqlite::{Options, Sqlite};
+use rusqlite::Connection;
+use std::fs;
+use std::path::PathBuf;
+
+const OWNER: &str = "node n1 of fleet \"north\" (n1, n2, n3)";
+
+/// A file of this test's own, with what SQLite puts beside it.
+struct Place(PathBuf);
+
+impl Place {
+    fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("gaugestand-diary-{}-{name}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        Place(folder)
+    }
+
+    fn file(&self) -> PathBuf {
+        self.0.join("fleet.db")
+    }
+
+    fn change(&self, sql: &str) {
+        let changed = Connection::open(self.file()).and_then(|c| c.execute_batch(sql));
+        changed.expect("changed");
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn page(from: u64, to: u64) -> Page {
+    let put = (from..=to).map(|at| (at, format!("entry {at}").into_bytes())).collect();
+    Page { state: Some(format!("state {to}").into_bytes()), cut: Some(from), put, ..Page::default() }
+}
+
+#[test]
+fn what_is_written_is_found_in_the_next_life() {
+    let place = Place::new("found");
+    for life in 1..=3 {
+        let (mut diary, found) = Diary::open(&place.file(), OWNER, &Options::default()).expect("opened");
+        assert_eq!(found.life, life);
+        assert!(Diary::open(&place.file(), OWNER, &Options::default()).is_err(), "it has one writer");
+        if life == 1 {
+            assert_eq!((found.state, found.base, found.entries.len()), (None, None, 0));
+            assert_eq!(diary.write(&page(1, 9)), Outcome::Done);
+            // Another leader's entries take the place of some; said twice it is the same.
+            assert_eq!(diary.write(&page(6, 7)), Outcome::Done);
+            assert_eq!(diary.write(&page(6, 7)), Outcome::Done);
+            let forget = Page { forget: Some(2), base: Some(b"base".to_vec()), ..Page::default() };
+            assert_eq!(diary.write(&forget), Outcome::Done);
+            continue;
+        }
+        let places: Vec<u64> = found.entries.iter().map(|e| e.0).collect();
+        assert_eq!((places, found.base), (vec![3, 4, 5, 6, 7], Some(b"base".to_vec())));
+        assert_eq!(found.state, Some(b"state 7".to_vec()));
+    }
+}
+
+#[test]
+fn a_file_that_is_not_whole_or_not_this_nodes_is_left_alone() {
+    let cases = [
+        ("UPDATE entry SET value = x'00' WHERE place = 2", "is damaged (entry 2"),
+        ("UPDATE cell SET value = x'00' WHERE name = 'state'", "is damaged (state"),
+        (
+            "UPDATE life SET owner = 'node n2 of fleet \"south\" (n2)'",
+            "belongs to node n2 of fleet \"south\"",
+        ),
+        ("PRAGMA user_version = 7", "is of version 7, this program knows up to 1"),
+        ("PRAGMA application_id = 7", "is a file of another program"),
+    ];
+    for (i, (sql, why)) in cases.into_iter().enumerate() {
+        let place = Place::new(&format!("case{i}"));
+        let (mut diary, _) = Diary::open(&place.file(), OWNER, &Options::default()).expect("opened");
+        assert_eq!(diary.write(&page(1, 3)), Outcome::Done);
+        drop(diary);
+        place.change(sql);
+        let before = fs::read(place.file()).expect("there");
+        let told = Diary::open(&place.file(), OWNER, &Options::default()).map(|_| ()).expect_err(sql);
+        assert!(told.starts_with("agreed log") && told.contains(why) && told.lines().count() == 1, "{told}");
+        assert_eq!(fs::read(place.file()).expect("there"), before, "{sql}: it was changed");
+    }
+    // A store of record is none, nor is a log a store of record.
+    let place = Place::new("store");
+    drop(Sqlite::open(&place.file(), &Options::default()).expect("a store"));
+    let told = Diary::open(&place.file(), OWNER, &Options::default()).map(|_| ()).expect_err("another file");
+    assert!(told.contains("is a file of another program"), "{told}");
+}
+
+#[test]
+fn a_full_disk_loses_no_page_that_was_done() {
+    let place = Place::new("full");
+    let small = Options { most_pages: 40, ..Options::default() };
+    let (mut diary, _) = Diary::open(&place.file(), OWNER, &small).expect("opened");
+    let big = |at: u64| Page { put: vec![(at, vec![7; 8_000])], ..Page::default() };
+    let done = (1..100).take_while(|at| diary.write(&big(*at)) == Outcome::Done).count() as u64;
+    assert!((2..60).contains(&done), "{done} pages");
+    // Room again: what failed is made again, in its order.
+    assert_eq!(diary.write(&Page { forget: Some(done / 2), ..Page::default() }), Outcome::Done);
+    assert_eq!(diary.write(&big(done + 1)), Outcome::Done);
+    drop(diary);
+    let (_, found) = Diary::open(&place.file(), OWNER, &small).expect("opened");
+    let places: Vec<u64> = found.entries.iter().map(|e| e.0).collect();
+    assert_eq!(places, (done / 2 + 1..=done + 1).collect::<Vec<_>>());
+}
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -2,6 +2,7 @@
 
 use starlark::collections::SmallMap;
 use starlark::values::Value;
+use starlark::values::list::ListRef;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -16,6 +17,8 @@
     Address,
     /// A whole number from the first to the second.
     Int(u64, u64),
+    /// A list of texts, so many at most.
+    Texts(usize),
 }
 
 /// One field of a builtin.
@@ -38,6 +41,7 @@
     name: &'static str,
     texts: BTreeMap<&'static str, String>,
     ints: BTreeMap<&'static str, u64>,
+    lists: BTreeMap<&'static str, Vec<String>>,
 }
 
 impl Values {
@@ -57,9 +61,15 @@
         self.ints.get(name).copied()
     }
 
+    /// A list that cannot be left out.
+    pub(crate) fn list(&self, name: &str) -> anyhow::Result<&[String]> {
+        let list = self.lists.get(name).map(Vec::as_slice);
+        list.ok_or_else(|| anyhow::anyhow!("{}: `{name}` is missing; add {name} = [\"...\"]", self.name))
+    }
+
     /// Whether a field was given.
     pub(crate) fn has(&self, name: &str) -> bool {
-        self.texts.contains_key(name) || self.ints.contains_key(name)
+        self.texts.contains_key(name) || self.ints.contains_key(name) || self.lists.contains_key(name)
     }
 }
 
@@ -101,6 +111,18 @@
                     }
                     values.texts.insert(field.name, text.to_string());
                 }
+                Kind::Texts(most) => {
+                    let hint = format!("a list of texts, {most} at most");
+                    let items = ListRef::from_value(*value)
+                        .ok_or_else(|| wrong(&format!("is a {of}"), hint.clone()))?;
+                    let texts: Option<Vec<String>> = items
+                        .iter()
+                        .map(|v| v.unpack_str().filter(|t| !t.is_empty()).map(String::from))
+                        .collect();
+                    let texts =
+                        texts.filter(|t| t.len() <= most).ok_or_else(|| wrong("is not that", hint))?;
+                    values.lists.insert(field.name, texts);
+                }
                 Kind::Text | Kind::Address => {
                     let address = matches!(field.kind, Kind::Address);
                     let hint =
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,6 +25,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+/// Most nodes that agree: all of them vote.
+const MOST_MEMBERS: usize = 7;
 /// Longest script.
 const MOST_SCRIPT: u64 = 64 * 1024;
 /// Most steps (calls and turns of a loop) that it may take.
@@ -39,10 +41,45 @@
 pub struct Settings {
     /// The store of record; `None` where there is none.
     pub record: Option<Record>,
+    /// The nodes that this one agrees with; `None` where it is on its own.
+    pub fleet: Option<Fleet>,
     /// Logs.
     pub log: Log,
 }
 
+/// The nodes that agree on settings and lists.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Fleet {
+    /// What the fleet is called.
+    pub name: String,
+    /// All nodes and where each is reached, in one order everywhere.
+    pub members: Vec<(String, SocketAddr)>,
+    /// Where this node listens for the others, if not at its own address among the members.
+    pub listen: Option<SocketAddr>,
+    /// The file of the agreed log.
+    pub path: PathBuf,
+    /// How long a version may be acted on without the word of a majority, in ms.
+    pub contradict_ms: u64,
+    /// How far two clocks may drift apart, in parts of a million.
+    pub drift_ppm: u64,
+    /// Which lists versions may hold.
+    pub lists: Lists,
+}
+
+/// Which lists versions may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Lists {
+    /// None that has a say in requests.
+    None,
+    /// Barred subjects.
+    Barred,
+    /// Gateways' shares.
+    Shares,
+    /// Both.
+    Both,
+}
+
 /// The store of record.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Record {
@@ -169,6 +206,18 @@
             field("waiting", Kind::Int(16, 100_000)),
         ],
     },
+    Builtin {
+        name: "fleet",
+        fields: &[
+            field("name", Kind::Text),
+            field("members", Kind::Texts(MOST_MEMBERS)),
+            field("listen", Kind::Address),
+            field("path", Kind::Text),
+            field("contradict_ms", Kind::Int(200, 600_000)),
+            field("drift_ppm", Kind::Int(0, 50_000)),
+            field("lists", Kind::Word(&["none", "barred", "shares", "both"])),
+        ],
+    },
     Builtin {
         name: "log",
         fields: &[
@@ -217,6 +266,13 @@
         })
     }
 
+    fn fleet<'v>(#[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
+        Told::call("fleet", kwargs, |settings, v| {
+            settings.fleet = Some(self::fleet_of(v)?);
+            Ok(())
+        })
+    }
+
     fn log<'v>(#[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
         Told::call("log", kwargs, |settings, v| {
             let log = &mut settings.log;
@@ -236,6 +292,39 @@
     }
 }
 
+fn fleet_of(v: &Values) -> anyhow::Result<Fleet> {
+    let mut members: Vec<(String, SocketAddr)> = Vec::new();
+    for member in v.list("members")? {
+        let (name, address) = member.split_once('=').unwrap_or((member, ""));
+        let address = address.parse().map_err(|_| {
+            anyhow::anyhow!(
+                "fleet: `members` has \"{member}\"; a name and an address, as in \"n1=10.0.0.7:7000\""
+            )
+        })?;
+        if name.is_empty() || members.iter().any(|m| m.0 == name) {
+            anyhow::bail!("fleet: `members` has the name \"{name}\" twice or empty; each node once");
+        }
+        members.push((name.to_string(), address));
+    }
+    if members.is_empty() {
+        anyhow::bail!("fleet: `members` is empty; name all nodes, this one too");
+    }
+    Ok(Fleet {
+        name: v.must("name")?.to_string(),
+        members,
+        listen: v.text("listen").map(str::parse).transpose()?,
+        path: v.must("path")?.into(),
+        contradict_ms: v.int("contradict_ms").unwrap_or(2_000),
+        drift_ppm: v.int("drift_ppm").unwrap_or(500),
+        lists: match v.text("lists") {
+            Some("barred") => Lists::Barred,
+            Some("shares") => Lists::Shares,
+            Some("both") => Lists::Both,
+            _ => Lists::None,
+        },
+    })
+}
+
 fn record_of(v: &Values) -> anyhow::Result<Record> {
     let sqlite = v.must("backend")? == "sqlite";
     let (ours, theirs): (&[&str], &[&str]) =
--- a/crates/settings/tests/script.rs
+++ b/crates/settings/tests/script.rs
@@ -24,6 +24,20 @@
     assert_eq!(sound(""), Settings::default());
 }
 
+#[test]
+fn a_fleet_is_told_with_its_members_in_their_order() {
+    let s = sound(
+        "fleet(name = 'north', members = ['n%s=10.0.0.%s:7000' % (i, i) for i in [2, 1]], path = '/f', lists = 'both')",
+    );
+    let fleet = s.fleet.expect("a fleet");
+    let members: Vec<String> = fleet.members.iter().map(|(name, at)| format!("{name} {at}")).collect();
+    assert_eq!(members, ["n2 10.0.0.2:7000", "n1 10.0.0.1:7000"]);
+    assert_eq!(
+        (fleet.contradict_ms, fleet.drift_ppm, fleet.lists, fleet.listen),
+        (2_000, 500, Lists::Both, None)
+    );
+}
+
 #[test]
 fn what_is_wrong_is_told_in_one_line_with_its_place_and_a_hint() {
     let cases = [
@@ -36,6 +50,23 @@
         ("record(backend = 'sqlite', path = 'a', user = 'u')", "op.star:1:1: record: `user`", "postgres"),
         ("record(backend = 'postgres', address = 'db')", "op.star:1:1: record: `address`", "a port"),
         ("record(path = '')", "op.star:1:1: record: `path` is \"\"", "text"),
+        ("fleet(name = 'f', path = 'p')", "op.star:1:1: fleet: `members` is missing", "add members = ["),
+        ("fleet(name = 'f', path = 'p', members = [])", "op.star:1:1: fleet: `members` is empty", "name all"),
+        (
+            "fleet(name = 'f', path = 'p', members = ['n1'])",
+            "op.star:1:1: fleet: `members` has \"n1\"",
+            "n1=10.",
+        ),
+        (
+            "fleet(name = 'f', path = 'p', members = 'n1=1.1.1.1:1')",
+            "op.star:1:1: fleet: `members` is a string",
+            "a list",
+        ),
+        (
+            "fleet(name = 'f', path = 'p', members = ['n=1.1.1.1:1', 'n=1.1.1.1:2'])",
+            "op.star:1:1: fleet: `members` has the name \"n\" twice",
+            "each node once",
+        ),
         ("  log(level = 'info'", "op.star:1", "Starlark"),
         ("log(level = 'info')\nlog(level = 'warn')", "op.star:2:1: log: is set twice", "keep one"),
         ("log('info')", "op.star:1:1", "by name"),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,4 +4,6 @@
 //! links them.
 #![forbid(unsafe_code)]
 
+pub mod kernel;
 pub mod postgres;
+pub mod relay;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,10 @@
 //! The command line of the booking node.
 #![deny(unsafe_code)]
 
+mod fleet;
 mod record;
 
-use bpaf::{OptionParser, Parser, construct, long, pure};
+use bpaf::{OptionParser, Parser, construct, long, positional, pure};
 use gaugestand_node as node;
 use gaugestand_node::config::ConfigError;
 use gaugestand_node::io::real::Real;
@@ -30,6 +31,8 @@
     },
     /// Look after a store of record.
     Record(Task, Which),
+    /// What the fleet agrees on.
+    Fleet(fleet::Task, fleet::Whom),
     /// Print the version.
     Version,
 }
@@ -98,12 +101,53 @@
         .to_options()
         .descr("Look after a store of record, beside a running node where it only reads")
         .command("record");
+    let fleet = fleet_commands();
     let version = pure(Command::Version).to_options().descr("Print the version").command("version");
-    construct!([serve, check, record, version])
+    construct!([serve, check, record, fleet, version])
         .to_options()
         .descr("A booking node: FastCGI requests in, admission decided, work done by the kernel")
 }
 
+fn fleet_commands() -> impl Parser<Command> {
+    let whom = || {
+        let admin =
+            long("admin").help("A node's second address; else BALANCER_ADMIN_ADDR, else the configuration's");
+        let admin = admin.argument("ADDRESS").optional();
+        let json = long("json").help("Print JSON, for programs").switch();
+        construct!(fleet::Whom { admin, json })
+    };
+    let force = || long("force").help("Even if it starves a keyed class").switch();
+    let number = |name: &'static str| positional::<u64>(name);
+    let command = |task: Box<dyn Parser<fleet::Task>>, descr: &'static str, name: &'static str| {
+        let whom = whom();
+        construct!(Command::Fleet(task, whom)).to_options().descr(descr).command(name)
+    };
+    let status =
+        command(pure(fleet::Task::Status).boxed(), "How the fleet stands, as this node sees it", "status");
+    let history = command(pure(fleet::Task::History).boxed(), "Versions that are kept", "history");
+    let show = command(number("VERSION").map(fleet::Task::Show).boxed(), "A version's content", "show");
+    let diff = {
+        let (a, b) = (number("A"), number("B"));
+        let task = construct!(fleet::Task::Diff(a, b)).boxed();
+        command(task, "How two versions differ, and whether they contradict each other", "diff")
+    };
+    let propose = {
+        let expect = long("expect").help("Only if this is the last version").argument("VERSION").optional();
+        let (force, file) = (force(), positional("FILE").help("JSON with settings and lists"));
+        let task = construct!(fleet::Task::Propose { expect, force, file }).boxed();
+        command(task, "Make a file the next version", "propose")
+    };
+    let rollback = {
+        let (force, version) = (force(), number("VERSION"));
+        let task = construct!(fleet::Task::Rollback { force, version }).boxed();
+        command(task, "Make an old content the next version", "rollback")
+    };
+    construct!([status, history, show, diff, propose, rollback])
+        .to_options()
+        .descr("What the fleet agrees on: ask any of its nodes")
+        .command("fleet")
+}
+
 fn serve(settings: Option<PathBuf>) -> Result<(), Failure> {
     let config = node::config::load(settings.as_deref())?;
     let name = config.name.clone();
@@ -114,6 +158,9 @@
     if let Some(admin) = node.admin_address() {
         tracing::info!(node = name, %admin, "answering operators");
     }
+    if let Some(fellows) = node.fellows_address() {
+        tracing::info!(node = name, %fellows, "listening for its fellows");
+    }
     if let Some(address) = node.address() {
         tracing::info!(node = name, %address, "listening");
     }
@@ -151,6 +198,7 @@
         }
         Command::CheckConfig { settings, json } => check(settings, json),
         Command::Record(task, which) => record::run(&task, which),
+        Command::Fleet(task, whom) => fleet::run(&task, &whom),
         Command::Serve { settings } => serve(settings),
     };
     let (problem, status) = match done {
