Tell at once who waits for a proposal that a new leader knows nothing of

Seen: with the leader stopped a proposal that was passed on to it waited 2.5 s for its answer, twice in a row before the new leader was asked. Now the answer 'it may be agreed yet' comes when another node leads.

--- a/crates/fleet/src/accord.rs
+++ b/crates/fleet/src/accord.rs
@@ -170,6 +170,8 @@
     work: Option<Work>,
     /// Proposals that were passed on, until when they are waited for.
     passed: BTreeMap<u64, Micros>,
+    /// Whom they were passed on to.
+    passed_to: Option<Member>,
     ticked: Option<Micros>,
     leaving: bool,
 }
@@ -236,6 +238,7 @@
             questions: setup.life << 32,
             work: None,
             passed: BTreeMap::new(),
+            passed_to: None,
             ticked: None,
             leaving: false,
             setup,
@@ -412,6 +415,7 @@
             match (origin, self.leader().filter(|l| self.linked.contains(l))) {
                 (Origin::Here(ticket), Some(leader)) if self.passed.len() < MOST_OUT => {
                     self.passed.insert(ticket, now.plus(ANSWER));
+                    self.passed_to = Some(leader);
                     out.push(Step::Send(leader, Body::Forward(Forward { ticket, content, expect, force })));
                     return;
                 }
@@ -542,6 +546,12 @@
             self.unwritten.push_back(Unwritten { page: self.pages, ready: number, messages, last, done });
             self.persist(now, out);
         }
+        // Whoever leads now knows nothing of what was passed on to the one before it.
+        if self.leader().is_some_and(|l| self.passed_to.is_some_and(|to| to != l)) {
+            let lost = std::mem::take(&mut self.passed);
+            out.extend(lost.into_keys().map(|ticket| Step::Answer(ticket, Err(Refusal::Unknown))));
+            self.passed_to = None;
+        }
         // Nobody answers for a proposal that another leader may or may not carry on.
         if !self.leads() && self.work.is_some() {
             self.end_work(Err(Refusal::Unknown), out);
--- a/tests/record.rs
+++ b/tests/record.rs
@@ -2,6 +2,7 @@
 
 mod peers;
 
+use gaugestand_standins::kernel::AutoKernel;
 use gaugestand_standins::postgres::{Fault, Postgres};
 use peers::*;
 use rusqlite::Connection;
