Leave what an older version bars to nodes that know, and look at the fleet when it is due

A node without a lease went on answering what its version bars with the wish that no other node be tried, though a newer version allows it elsewhere: gate::rule looked at lists before it looked at the lease. Now it is refused as what the node cannot know. Ruled out: a lease that outlasted its time (no probe but those of barred subjects showed the older version).

--- a/crates/fleet/src/gate.rs
+++ b/crates/fleet/src/gate.rs
@@ -40,11 +40,14 @@
 
 /// Rules on a request. `content` is the version in `acts`, if there has been one.
 pub fn rule(acts: Acts, content: Option<&Content>, lists: Lists, request: Request<'_>) -> Ruling {
-    let on = matches!(acts, Acts::On(_));
+    let named = lists.shares || lists.barred && request.subject.is_some();
+    if !matches!(acts, Acts::On(_)) {
+        // That nobody takes it is a newer version's to say: what the older one bars, another node may take by now.
+        return if request.keyed || named { Ruling::NoLease } else { Ruling::Pass };
+    }
     let all = content.into_iter().flat_map(|c| c.lists.values());
     for list in all {
         match (list, request.subject) {
-            // Kept without a lease: what is refused contradicts nobody.
             (List::Barred(barred), Some(subject)) if barred.contains(subject) => return Ruling::Barred,
             (List::Shares(shares), _) => {
                 let bound = shares.get(&request.gateway.to_string()).copied();
@@ -55,8 +58,7 @@
             _ => {}
         }
     }
-    let named = lists.shares || lists.barred && request.subject.is_some();
-    if !on && (request.keyed || named) { Ruling::NoLease } else { Ruling::Pass }
+    Ruling::Pass
 }
 
 /// Whether a content holds lists that this fleet's nodes were not told of.
@@ -95,7 +97,7 @@
             (off, Some(&none), may_bar, read(Some("7f")), Ruling::NoLease),
             (off, Some(&none), may_bar, read(None), Ruling::Pass),
             (on, Some(&bars), may_bar, read(Some("7f")), Ruling::Barred),
-            (off, Some(&bars), may_bar, read(Some("7f")), Ruling::Barred),
+            (off, Some(&bars), may_bar, read(Some("7f")), Ruling::NoLease),
             (on, Some(&bars), may_bar, read(Some("80")), Ruling::Pass),
             (on, Some(&caps), may_share, loud(1), Ruling::Pass),
             (on, Some(&caps), may_share, loud(2), Ruling::OverShare),
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -162,6 +162,8 @@
     processes: Vec<Mutex<Option<Process>>>,
     /// Where each listens for the others.
     fellows: Vec<Arc<Mutex<SocketAddr>>>,
+    /// There is no fleet: each process is on its own.
+    alone: bool,
     /// By the one who connects and the one who is connected to.
     relays: BTreeMap<(usize, usize), Relay>,
     _kernels: Vec<(TcpListener, AutoKernel)>,
@@ -197,6 +199,15 @@
         nodes: usize,
         seed: u64,
         change: impl Fn(usize, &mut Value),
+    ) -> Result<Rig, String> {
+        Rig::made(program, (nodes, false), seed, change)
+    }
+
+    fn made(
+        program: &Path,
+        (nodes, alone): (usize, bool),
+        seed: u64,
+        change: impl Fn(usize, &mut Value),
     ) -> Result<Rig, String> {
         let serial = std::process::id();
         let folder = std::env::temp_dir().join(format!("gaugestand-fleet-{serial}-{seed}-{nodes}"));
@@ -215,6 +226,7 @@
             places: Vec::new(),
             processes: Vec::new(),
             fellows,
+            alone,
             relays,
             _kernels: Vec::new(),
         };
@@ -237,7 +249,19 @@
         Ok(rig)
     }
 
+    /// CPU that a process has used, in milliseconds; of the system's ticks, ten each.
+    fn cpu_ms(&self, me: usize) -> Option<u64> {
+        let process = self.processes[me].lock().unwrap_or_else(|e| e.into_inner());
+        let stat = fs::read_to_string(format!("/proc/{}/stat", process.as_ref()?.child.id())).ok()?;
+        // After the name, which may hold anything: fields 14 and 15 are the twelfth and the thirteenth.
+        let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
+        Some((fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?) * 10)
+    }
+
     fn script(&self, me: usize, nodes: usize) -> String {
+        if self.alone {
+            return String::new();
+        }
         let member = |other: usize| {
             let at =
                 self.relays.get(&(me, other)).map_or(SocketAddr::from(([127, 0, 0, 1], 9)), Relay::address);
@@ -622,6 +646,35 @@
     Err(format!("after {} s: {last}", TOGETHER.as_secs()))
 }
 
+/// What a fleet costs that nothing is asked of: CPU in ms a second, of each process, and the most of them; what a read costs in us
+/// of CPU at a process of it, over that at one on its own.
+pub fn rest(program: &Path, nodes: usize, seconds: u64, reads: u64) -> Result<(f64, f64, f64, f64), String> {
+    let rig = Rig::start(program, nodes, 9_000_000)?;
+    let version = rig.agree(0, &bars(1))?;
+    rig.await_effect(&(0..nodes).collect::<Vec<_>>(), version)?;
+    let used = || (0..nodes).map(|me| rig.cpu_ms(me).unwrap_or(0)).collect::<Vec<_>>();
+    let before = used();
+    thread::sleep(Duration::from_secs(seconds));
+    let each: Vec<f64> =
+        used().iter().zip(&before).map(|(after, before)| (after - before) as f64 / seconds as f64).collect();
+    let most = each.iter().copied().fold(0.0, f64::max);
+    let alone = Rig::made(program, (1, true), 9_000_001, |_, _| ())?;
+    // In turns, so that what else the machine does falls on both.
+    let (mut with, mut without) = (0, 0);
+    for turn in 0..10 {
+        for (rig, sum) in [(&rig, &mut with), (&alone, &mut without)] {
+            let mut gateway = rig.gateway(0)?;
+            let before = rig.cpu_ms(0).ok_or("it is not there")?;
+            for n in 0..reads / 10 {
+                gateway.read(1 + turn * reads + n).map_err(io_text("a read"))?;
+            }
+            *sum += rig.cpu_ms(0).ok_or("it is not there")? - before;
+        }
+    }
+    let us = |ms: u64| ms as f64 * 1_000.0 / reads as f64;
+    Ok((each.iter().sum::<f64>() / nodes as f64, most, us(with), us(without)))
+}
+
 /// Holds what was seen against the rules.
 fn judge(rig: &Rig, notes: Notes) -> Outcome {
     let mut out = Outcome { violations: notes.violations, refused: notes.refused, ..Outcome::default() };
--- a/crates/node/src/fellows.rs
+++ b/crates/node/src/fellows.rs
@@ -105,6 +105,10 @@
     /// Open tries by gateway.
     by_gateway: BTreeMap<u64, usize>,
     said: Option<Micros>,
+    /// Something has happened since the last turn's end.
+    stirred: bool,
+    /// When to look again though nothing has.
+    look_at: Micros,
 }
 
 fn lists(lists: Lists) -> gate::Lists {
@@ -180,6 +184,8 @@
             open: BTreeMap::new(),
             by_gateway: BTreeMap::new(),
             said: None,
+            stirred: true,
+            look_at: Micros(0),
         })
     }
 
@@ -335,6 +341,7 @@
 
     /// Takes connections that wait.
     pub fn accept(&mut self, now: Micros) {
+        self.stirred = true;
         for _ in 0..MOST_GUESTS {
             let guests = MOST_MEMBERS..KEYS;
             let free = guests.clone().find(|slot| self.channels[*slot].is_none());
@@ -370,6 +377,7 @@
     /// The poller has something for one of its links.
     pub fn ready(&mut self, now: Micros, event: Ready, counters: &mut Counters) {
         let Some(slot) = event.key.checked_sub(self.first_key).filter(|s| *s < KEYS) else { return };
+        self.stirred = true;
         let Some(channel) = self.channels[slot].as_mut() else { return };
         match channel.link.ready(now, event.readable, event.writable) {
             Some(Change::Up) => {
@@ -464,6 +472,7 @@
     /// The worker has something.
     pub fn written(&mut self, now: Micros, counters: &mut Counters) {
         self.writer.woken();
+        self.stirred = true;
         while let Some((number, outcome)) = self.writer.outcome() {
             if self.pages.front().is_none_or(|p| p.0 != number) {
                 continue;
@@ -498,7 +507,13 @@
 
     // ---- Turns ---------------------------------------------------------------------------------------
 
+    /// Whether there is anything to do in this turn: most turns are a gateway's or the kernel's alone.
+    pub fn is_due(&self, now: Micros) -> bool {
+        self.stirred || now >= self.look_at
+    }
+
     fn step(&mut self, now: Micros, event: Event) {
+        self.stirred = true;
         let mut out = Vec::new();
         self.accord.step(now, event, &mut out);
         self.steps.extend(out);
@@ -560,16 +575,25 @@
 
     /// Ends a turn: writes what can be written.
     pub fn flush(&mut self, now: Micros) {
+        if !self.is_due(now) {
+            return;
+        }
+        self.stirred = false;
         for slot in 0..KEYS {
             let Some(channel) = self.channels[slot].as_mut() else { continue };
             if channel.link.flush(now).is_some() {
                 self.lost(now, slot);
             }
         }
+        self.look_at = self.next_look(now);
     }
 
     /// When to look at it again although nothing came.
-    pub fn wake(&self, now: Micros) -> Micros {
+    pub fn wake(&self) -> Micros {
+        if self.stirred { Micros(0) } else { self.look_at }
+    }
+
+    fn next_look(&self, now: Micros) -> Micros {
         let links = self.channels.iter().flatten().filter(|c| c.who.is_none());
         let links = links.map(|c| c.since.plus(GREETING));
         let again = (usize::from(self.stamp.me) + 1..self.members.len())
--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -316,7 +316,7 @@
             self.admin.wake(),
             self.kin.wake(),
             leaving,
-            self.fellows.as_ref().map(|f| f.wake(now)),
+            self.fellows.as_ref().map(|f| f.wake()),
         ]);
         next_turn(now, wake)
     }
--- a/crates/node/src/turn/accord.rs
+++ b/crates/node/src/turn/accord.rs
@@ -90,7 +90,7 @@
     /// What is due by now: messages, pages, checks, the version in effect.
     pub(super) fn pass_fleet(&mut self) {
         let now = self.clock.now();
-        let Some(fellows) = &mut self.fellows else { return };
+        let Some(fellows) = self.fellows.as_mut().filter(|f| f.is_due(now)) else { return };
         fellows.tick(now);
         if let Some((version, bytes)) = fellows.due(now) {
             let put = self.put_into_effect(bytes.as_deref());
