--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -160,6 +160,8 @@
     folder: PathBuf,
     places: Vec<Place>,
     processes: Vec<Mutex<Option<Process>>>,
+    /// Held from the end of a process to its start: two faults may come to one at a time.
+    restarts: Vec<Mutex<()>>,
     /// Where each listens for the others.
     fellows: Vec<Arc<Mutex<SocketAddr>>>,
     /// There is no fleet: each process is on its own.
@@ -225,6 +227,7 @@
             folder,
             places: Vec::new(),
             processes: Vec::new(),
+            restarts: (0..nodes).map(|_| Mutex::new(())).collect(),
             fellows,
             alone,
             relays,
@@ -586,6 +589,7 @@
             let (rig, notes) = (&rig, &notes);
             match *fault {
                 Fault::Kill(me, after) => drop(scope.spawn(move || {
+                    let _alone = rig.restarts[me].lock().unwrap_or_else(|e| e.into_inner());
                     rig.kill(me);
                     thread::sleep(Duration::from_millis(after));
                     if let Err(seen) = rig.begin(me) {
