Have the rig use no port of its own choosing, and print the plan of a run that fails

Found on reading the change again: addresses that nobody connects to, or that were not known yet, stood as port 9 of loopback, which a relay would have tried; now there is none until a process has said where it listens. A failing test named its seed and not its plan of faults.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -144,7 +144,7 @@
 struct Process {
     child: Child,
     listen: String,
-    admin: SocketAddr,
+    admin: Option<SocketAddr>,
 }
 
 /// What a process is started with.
@@ -163,7 +163,7 @@
     /// Held from the end of a process to its start: two faults may come to one at a time.
     restarts: Vec<Mutex<()>>,
     /// Where each listens for the others.
-    fellows: Vec<Arc<Mutex<SocketAddr>>>,
+    fellows: Vec<Arc<Mutex<Option<SocketAddr>>>>,
     /// There is no fleet: each process is on its own.
     alone: bool,
     /// By the one who connects and the one who is connected to.
@@ -214,12 +214,11 @@
         let serial = std::process::id();
         let folder = std::env::temp_dir().join(format!("gaugestand-fleet-{serial}-{seed}-{nodes}"));
         fs::create_dir_all(&folder).map_err(io_text("a folder"))?;
-        let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
-        let fellows: Vec<_> = (0..nodes).map(|_| Arc::new(Mutex::new(nowhere))).collect();
+        let fellows: Vec<_> = (0..nodes).map(|_| Arc::new(Mutex::new(None))).collect();
         let mut relays = BTreeMap::new();
         for (b, target) in fellows.iter().enumerate() {
             for a in 0..b {
-                relays.insert((a, b), Relay::over(target.clone()).map_err(io_text("a relay"))?);
+                relays.insert((a, b), Relay::to(target.clone()).map_err(io_text("a relay"))?);
             }
         }
         let mut rig = Rig {
@@ -266,8 +265,9 @@
             return String::new();
         }
         let member = |other: usize| {
-            let at =
-                self.relays.get(&(me, other)).map_or(SocketAddr::from(([127, 0, 0, 1], 9)), Relay::address);
+            // Itself, and who connects to it, it does not connect to.
+            let nobody = SocketAddr::from(([127, 0, 0, 1], 0));
+            let at = self.relays.get(&(me, other)).map_or(nobody, Relay::address);
             format!("\"n{other}={at}\"")
         };
         let members: Vec<String> = (0..nodes).map(member).collect();
@@ -289,8 +289,7 @@
         command.env_remove("TMPDIR").stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(io_text("the program"))?;
         let said = child.stderr.take().ok_or("no standard error")?;
-        let mut process =
-            Process { child, listen: String::new(), admin: SocketAddr::from(([127, 0, 0, 1], 9)) };
+        let mut process = Process { child, listen: String::new(), admin: None };
         let found = await_addresses(said, &mut process, &self.fellows[me]);
         if let Err(why) = found {
             let _ = process.child.kill();
@@ -321,11 +320,11 @@
     /// Where a process listens for gateways and for operators, if it is there.
     fn addresses(&self, me: usize) -> Option<(String, SocketAddr)> {
         let process = self.processes[me].lock().unwrap_or_else(|e| e.into_inner());
-        process.as_ref().map(|p| (p.listen.clone(), p.admin))
+        process.as_ref().and_then(|p| Some((p.listen.clone(), p.admin?)))
     }
 
-    /// Where a process listens for its fellows.
-    pub fn fellows(&self, me: usize) -> SocketAddr {
+    /// Where a process listens for its fellows, once it has said so.
+    pub fn fellows(&self, me: usize) -> Option<SocketAddr> {
         *self.fellows[me].lock().unwrap_or_else(|e| e.into_inner())
     }
 
@@ -433,7 +432,7 @@
 fn await_addresses(
     said: impl Read + Send + 'static,
     process: &mut Process,
-    fellows: &Mutex<SocketAddr>,
+    fellows: &Mutex<Option<SocketAddr>>,
 ) -> Result<(), String> {
     let (began, mut said, mut heard) = (Instant::now(), BufReader::new(said), String::new());
     let word = |text: &str| text.split(['"', ' ', '\n']).next().unwrap_or_default().to_string();
@@ -444,9 +443,9 @@
         }
         let after = |what: &str| line.split_once(what).map(|(_, rest)| word(rest));
         if let Some(at) = after("fellows=").and_then(|a| a.parse().ok()) {
-            *fellows.lock().unwrap_or_else(|e| e.into_inner()) = at;
+            *fellows.lock().unwrap_or_else(|e| e.into_inner()) = Some(at);
         } else if let Some(at) = after("admin=").and_then(|a| a.parse().ok()) {
-            process.admin = at;
+            process.admin = Some(at);
         } else if let Some(at) = after("address=") {
             process.listen = at;
         }
@@ -571,7 +570,7 @@
 }
 
 /// Plays a plan on so many processes of a program.
-pub fn play(program: &Path, nodes: usize, seed: u64, plan: &Plan, told: bool) -> Result<Outcome, String> {
+pub fn play(program: &Path, nodes: usize, seed: u64, plan: &Plan) -> Result<Outcome, String> {
     let rig = Rig::start(program, nodes, seed)?;
     let (notes, over) = (Mutex::new(Notes::default()), Mutex::new(false));
     thread::scope(|scope| {
@@ -582,9 +581,6 @@
         let began = Instant::now();
         for (at, fault) in plan {
             thread::sleep(Duration::from_millis(*at).saturating_sub(began.elapsed()));
-            if told {
-                println!("{at:>6} ms  {fault:?}");
-            }
             rig.throw(*fault);
             let (rig, notes) = (&rig, &notes);
             match *fault {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -163,7 +163,7 @@
         let plan = fleet::plan(seed, nodes, secs.saturating_mul(1000));
         // Of the plan: when real processes do what is not the seed's.
         digest.update(format!("{plan:?}").as_bytes());
-        let outcome = fleet::play(&program, nodes, seed, &plan, false)?;
+        let outcome = fleet::play(&program, nodes, seed, &plan)?;
         println!("seed {seed}, {nodes} processes: {outcome}");
         // The same thing seen again and again is told a few times.
         for v in outcome.violations.iter().take(5) {
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -48,13 +48,9 @@
 }
 
 impl Relay {
-    /// Relays what connects here to there.
-    pub fn to(target: SocketAddr) -> std::io::Result<Relay> {
-        Relay::over(Arc::new(Mutex::new(target)))
-    }
-
-    /// The same to an address that may change, as a node that starts again has another.
-    pub fn over(target: Arc<Mutex<SocketAddr>>) -> std::io::Result<Relay> {
+    /// Relays what connects here to an address that may change, as a node that starts again has another; to none, before
+    /// there is one.
+    pub fn to(target: Arc<Mutex<Option<SocketAddr>>>) -> std::io::Result<Relay> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let (faults, over) = (Arc::new(Mutex::new(Faults::default())), Arc::new(AtomicBool::new(false)));
@@ -66,8 +62,8 @@
                     return;
                 }
                 let shut = faults.lock().is_ok_and(|f| f.shut);
-                let target = target.lock().map(|t| *t);
-                let outer = target.ok().filter(|_| !shut).and_then(|t| TcpStream::connect(t).ok());
+                let target = target.lock().ok().and_then(|t| *t);
+                let outer = target.filter(|_| !shut).and_then(|t| TcpStream::connect(t).ok());
                 if let Some(outer) = outer {
                     pair(inner, outer, &faults, &over);
                 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -43,9 +43,11 @@
 #[test]
 fn what_is_agreed_holds_through_cuts_kills_and_pauses() {
     for (seed, nodes) in [(1, 3), (2, 5), (3, 3)] {
-        let outcome = play(program(), nodes, seed, &plan(seed, nodes, 6_000), false).expect("played");
+        let plan = plan(seed, nodes, 6_000);
+        let outcome = play(program(), nodes, seed, &plan).expect("played");
         println!("seed {seed}, {nodes} processes: {outcome}");
-        assert!(outcome.violations.is_empty(), "seed {seed}: {:#?}", outcome.violations);
+        let broken = &outcome.violations;
+        assert!(broken.is_empty(), "seed {seed}, {nodes} processes: {broken:#?} under {plan:#?}");
         assert!(outcome.agreed > 0 && outcome.seen > 0, "seed {seed}: {outcome}");
     }
 }
@@ -210,12 +212,13 @@
         [&b"\xff\xff\xff\xffgarbage"[..], &b"\x04\0\0\0\xff\xff\xff\xff"[..], b"GET / HTTP/1.1\r\n\r\n", b""]
     {
         for me in 0..3 {
-            let mut stranger = TcpStream::connect(rig.fellows(me)).expect("accepted");
+            let mut stranger = TcpStream::connect(rig.fellows(me).expect("it listens")).expect("accepted");
             stranger.write_all(said).expect("sent");
         }
     }
     // More of them than there are places, none of which says who it is.
-    let crowd: Vec<TcpStream> = (0..40).filter_map(|n| TcpStream::connect(rig.fellows(n % 3)).ok()).collect();
+    let crowd: Vec<TcpStream> =
+        (0..40).filter_map(|n| TcpStream::connect(rig.fellows(n % 3)?).ok()).collect();
     let version = rig.agree(2, &bars(2)).expect("the fleet goes on");
     rig.await_effect(&[0, 1, 2], version).expect("in effect");
     drop(crowd);
