--- a/crates/standins/src/kernel.rs
+++ b/crates/standins/src/kernel.rs
@@ -13,6 +13,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct AutoKernel {
     runs: Arc<Mutex<Vec<(String, String)>>>,
+    holds: bool,
 }
 
 /// What a life of the node has at its address of the kernel, over its links.
@@ -24,6 +25,11 @@
 }
 
 impl AutoKernel {
+    /// One that ends no run.
+    pub fn holding() -> Self {
+        AutoKernel { holds: true, ..AutoKernel::default() }
+    }
+
     /// Serves on this listener until the test ends.
     pub fn serve(listener: &TcpListener) -> Self {
         let kernel = AutoKernel::default();
@@ -68,7 +74,7 @@
                         .to_string()
                         + "\n"
                 }
-                Some("SCHED") => {
+                Some("SCHED") if !self.holds => {
                     // One that has run, or runs, is not run again.
                     if !life.handles.insert(command["handle"].to_string()) {
                         continue;
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -171,11 +171,16 @@
 
     /// A scene whose program can be replaced, with a second address.
     pub fn shared() -> Self {
+        Scene::shared_with(|text| text["settings"]["extra"]["key-kb"] = json!(1.0))
+    }
+
+    /// The same; `change` may alter its configuration.
+    pub fn shared_with(change: impl FnOnce(&mut Value)) -> Self {
         let folder = place("d");
         std::fs::create_dir(&folder).expect("a folder");
         Scene::within(Some(folder), None, |text| {
             text["admin_addr"] = json!("127.0.0.1:0");
-            text["settings"]["extra"]["key-kb"] = json!(1.0);
+            change(text);
         })
     }
 
