Put versions that contradict nobody into effect at once, by leases of those before them

Need: each change of a worth or an aim, or a subject fewer on a list, waited contradict_ms, and a node had no lease from its commit to the next answer, though differ knows that nobody is contradicted. At fault: effect::Event::Committed gave every version the wait of one that contradicts, and acts() took a lease of the very version alone.

accord compares a version with the one just before it; effect takes it when the one before is in effect, and a lease counts for all that only such steps lead to. Three real processes take twelve such versions in a row, each at once; without the part: 'another version is in work or not in effect yet'.

--- a/crates/fleet/src/accord.rs
+++ b/crates/fleet/src/accord.rs
@@ -5,6 +5,7 @@
 //! events and times give the same steps. It does not guarantee that a proposal that was turned down for want of an answer
 //! is not agreed later: [`Refusal::Unknown`] says so.
 
+use crate::differ;
 use crate::effect::{self, Acts, Effect, Member, Terms, Version};
 use crate::shelf::{Shelf, version_of};
 use crate::wire::{Answer, Ask, Body, Check, Checked, Entry as Versioned, Forward, MOST_CONTENT};
@@ -587,9 +588,12 @@
 
     fn agree(&mut self, now: Micros, entry: Versioned, out: &mut Vec<Step>) {
         let (version, content) = (entry.version, Rc::<[u8]>::from(entry.content));
+        // Without the one just before it nobody knows what it differs from.
+        let before = version.checked_sub(1).and_then(|before| self.agreed.get(&before));
+        let immediate = before.is_some_and(|before| differ::is_immediate(before, &content));
         self.agreed.insert(version, content.clone());
         out.push(Step::Agreed(version, content));
-        self.effect_step(now, effect::Event::Committed(version), out);
+        self.effect_step(now, effect::Event::Committed { version, immediate }, out);
         if self.work.as_ref().is_some_and(|w| w.appended == Some(version)) {
             self.end_work(Ok(version), out);
         }
--- a/crates/fleet/src/differ.rs
+++ b/crates/fleet/src/differ.rs
@@ -195,3 +195,11 @@
 pub fn verdict(differences: &[Difference]) -> Kind {
     differences.iter().fold(Kind::Harmless, |all, d| all.and(d.kind))
 }
+
+/// Whether a version with the content `new` may be acted on while others still act on the one just before it, `old`. Such
+/// steps may follow one another: each way in which two contents are told apart goes by an order. What cannot be read may not.
+pub fn is_immediate(old: &[u8], new: &[u8]) -> bool {
+    let read = |bytes| serde_json::from_slice::<Content>(bytes).ok();
+    let pair = read(old).zip(read(new));
+    pair.is_some_and(|(old, new)| verdict(&differences(&old, &new)).is_immediate())
+}
--- a/crates/fleet/src/effect.rs
+++ b/crates/fleet/src/effect.rs
@@ -47,6 +47,8 @@
     FromAnswer,
     /// A node says yes to an older version though it has a later one.
     SaysYes,
+    /// What need not be waited for comes into effect before what it follows.
+    Overtakes,
 }
 
 /// What holds for all nodes of a fleet.
@@ -109,7 +111,12 @@
     /// Its log has this version last, and that is on disk; a lower one than before if the log was cut back.
     Last(Version),
     /// This version, which its log has, is committed.
-    Committed(Version),
+    Committed {
+        /// Which.
+        version: Version,
+        /// The one just before it is known, and may be acted on beside it.
+        immediate: bool,
+    },
     /// Another node asks whether it may act on a version.
     Ask {
         /// Who.
@@ -159,6 +166,15 @@
     Within(Version),
 }
 
+/// A committed version that may not be acted on yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Waiting {
+    version: Version,
+    /// Not before then, nor before the ones ahead of it.
+    due: Micros,
+    immediate: bool,
+}
+
 /// A question that is out.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Question {
@@ -176,8 +192,10 @@
     last: Version,
     /// The latest version that may be acted on with a lease.
     ripe: Version,
-    /// Committed versions that are waited for, and when that is over, in order.
-    waiting: Vec<(Version, Micros)>,
+    /// The lowest version a lease of which counts for `ripe`.
+    floor: Version,
+    /// Committed versions that are waited for, in order.
+    waiting: Vec<Waiting>,
     question: Option<Question>,
     number: u64,
     /// Of which version, and until when.
@@ -188,13 +206,25 @@
     /// A node that has just started, with this version last in its log; `number` is above that of any question of its
     /// earlier lives.
     pub fn new(terms: Terms, me: Member, last: Version, number: u64) -> Self {
-        Effect { terms, me, last, ripe: 0, waiting: Vec::new(), question: None, number, lease: None }
+        Effect {
+            terms,
+            me,
+            last,
+            ripe: 0,
+            floor: 0,
+            waiting: Vec::new(),
+            question: None,
+            number,
+            lease: None,
+        }
     }
 
     /// What it may act on at this moment. Ask with a clock that was read just now, for each decision.
     pub fn acts(&self, now: Micros) -> Acts {
         match self.lease {
-            Some((version, until)) if now < until && version == self.ripe => Acts::On(version),
+            Some((version, until)) if now < until && (self.floor..=self.ripe).contains(&version) => {
+                Acts::On(self.ripe)
+            }
             _ => Acts::Within(self.ripe),
         }
     }
@@ -211,7 +241,7 @@
 
     /// When to tell it that time has passed.
     pub fn wake(&self) -> Option<Micros> {
-        let ripens = self.waiting.first().map(|w| w.1);
+        let ripens = self.waiting.first().map(|w| w.due);
         // While it knows of a later version it renews nothing: that would be a wake in the past, again and again.
         let renews = self.question.as_ref().filter(|_| self.allows(self.ripe));
         let renews = renews.map(|q| q.asked.plus(self.renewal()));
@@ -226,10 +256,15 @@
     pub fn step(&mut self, now: Micros, event: Event, out: &mut Vec<Step>) {
         match event {
             Event::Last(version) => self.last = version,
-            Event::Committed(version) => {
+            Event::Committed { version, immediate } => {
                 // What comes after a restart, or in a row, ripens each in its own time; the latest counts.
-                if version > self.ripe && self.waiting.iter().all(|w| w.0 < version) {
-                    self.waiting.push((version, now.plus(self.terms.wait)));
+                if version > self.ripe && self.waiting.iter().all(|w| w.version < version) {
+                    let due = if immediate { now } else { now.plus(self.terms.wait) };
+                    self.waiting.push(Waiting { version, due, immediate });
+                    #[cfg(feature = "planted")]
+                    if self.terms.has(Defect::Overtakes) && immediate {
+                        self.waiting.retain(|w| w.version == version);
+                    }
                 }
             }
             Event::Ask { from, version, number } => {
@@ -266,9 +301,12 @@
     }
 
     fn ripen(&mut self, now: Micros) {
-        while let Some((version, _)) = self.waiting.first().copied().filter(|w| w.1 <= now) {
+        while let Some(next) = self.waiting.first().copied().filter(|w| w.due <= now) {
             self.waiting.remove(0);
-            self.ripe = version;
+            self.ripe = next.version;
+            if !next.immediate {
+                self.floor = next.version;
+            }
         }
     }
 
--- a/crates/fleet/tests/differ.rs
+++ b/crates/fleet/tests/differ.rs
@@ -1,6 +1,6 @@
 //! The table of differences, row by row.
 
-use gaugestand_fleet::differ::{Content, Kind, differences, verdict};
+use gaugestand_fleet::differ::{Content, Kind, differences, is_immediate, verdict};
 use serde_json::{Value, json};
 
 fn content(change: impl FnOnce(&mut Value)) -> Content {
@@ -90,3 +90,41 @@
     let at: Vec<&str> = found.iter().map(|d| d.at.as_str()).collect();
     assert_eq!(at, ["classes.booking.dedup-window", "lists.subjects"]);
 }
+
+// Guards against two steps that may each be acted on at once, and together may not: leases of the first one count for the last.
+#[test]
+fn steps_that_need_no_wait_need_none_together() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let some = |rng: &mut fastrand::Rng| {
+        let window = [json!(null), json!(1), json!(2), json!("x")][rng.usize(..4)].clone();
+        let barred: Vec<&str> = ["a", "b"].into_iter().filter(|_| rng.bool()).collect();
+        let mut all =
+            json!({"settings": {"classes": [{"name": "quote", "worth": rng.u8(..3)}]}, "lists": {}});
+        if rng.bool() {
+            let effect = ["pure", "token"][rng.usize(..2)];
+            let class = json!({"name": "booking", "effect": effect, "dedup-window": window});
+            all["settings"]["classes"].as_array_mut().expect("a list").push(class);
+        }
+        match rng.u8(..4) {
+            0 => all["lists"]["l"] = json!({"barred": barred}),
+            1 => all["lists"]["l"] = json!({"shares": {"1": rng.u8(..3)}}),
+            2 => all["lists"]["l"] = json!({"places": {"n1": (["x", "y"][rng.usize(..2)])}}),
+            _ => {}
+        }
+        if rng.u8(..8) == 0 {
+            all["settings"] = json!(null);
+        }
+        all.to_string().into_bytes()
+    };
+    let mut chains = 0;
+    for _ in 0..60_000 {
+        let (a, b, c) = (some(&mut rng), some(&mut rng), some(&mut rng));
+        if is_immediate(&a, &b) && is_immediate(&b, &c) {
+            chains += 1;
+            let told = [&a, &b, &c].map(|v| String::from_utf8_lossy(v).into_owned());
+            assert!(is_immediate(&a, &c), "{told:#?}");
+        }
+    }
+    assert!(chains > 500, "only {chains} chains");
+    assert!(!is_immediate(b"no version", b"no version"));
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -76,6 +76,38 @@
     assert!(matches!(cut_off.book(6, "key-1", b"b").expect("an answer"), Verdict::Served(_)));
 }
 
+// Guards against a wait, and an end of service meanwhile, for a version that contradicts nobody: each of these lets one more
+// subject through, and the next one is taken at once, where it would be too early after one that is waited for.
+#[test]
+fn versions_that_contradict_nobody_follow_each_other_without_a_wait() {
+    let rig = three(7);
+    let barring = |n: u64| {
+        let barred: Vec<String> = (0..n).map(|i| format!("{:016x}", subject(100 + i))).collect();
+        json!({"settings": null, "lists": {"fraud": {"barred": barred}}})
+    };
+    let first = rig.agree(0, &barring(12)).expect("agreed");
+    rig.await_effect(&[0, 1, 2], first).expect("in effect");
+    for left in (0..12).rev() {
+        let propose = || rig.ask(0, &format!("PROPOSE {} - {}", first + 11 - left, barring(left)));
+        let mut said = propose();
+        // Leadership may move under load; what must not come is that the one before is not in effect yet.
+        while said.as_ref().is_err_and(|why| why.contains("no majority")) {
+            thread::sleep(Duration::from_millis(20));
+            said = propose();
+        }
+        assert_eq!(said, Ok(format!("{{\"version\":{}}}", first + 12 - left)));
+    }
+    rig.await_effect(&[0, 1, 2], first + 12).expect("in effect");
+    for me in 0..3 {
+        let said = rig.gateway(me).expect("up").read_about(1_000, subject(100)).expect("an answer");
+        assert!(matches!(said, Verdict::Served(_) | Verdict::Refused), "{said:?}");
+    }
+    // One subject more is waited for.
+    let last = rig.agree(0, &barring(1)).expect("agreed");
+    rig.await_effect(&[0, 1, 2], last).expect("in effect");
+    await_verdict(&rig, 1, 2_000, subject(100), &Verdict::Barred);
+}
+
 #[test]
 fn a_process_that_was_stopped_decides_nothing_by_the_version_that_it_had() {
     let rig = three(2);
