End the rig's processes with the rig also when it is killed itself

Need: SIGKILL of gaugestand-lab fleet left its node processes running (Drop does not run then), against its own promise that no process outlives it. A small shell holds the end of a pipe: when the pipe ends it kills what is on its list and removes the folder. Rejected: the system's signal at a parent's death, which needs unsafe code outside of poll and follows the thread, not the program.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -6,6 +6,7 @@
 //! moment between its sending and its answer; of two versions the newer one must not be seen at one process before the older
 //! one was seen for the last time at another, but for the stated time.
 
+use crate::guard::Guard;
 use crate::standins::gateway::{Gateway, Verdict};
 use gaugestand_standins::kernel::AutoKernel;
 use gaugestand_standins::relay::{Relay, Way};
@@ -156,6 +157,8 @@
 
 /// All of them. Whatever happens, no process outlives it.
 pub struct Rig {
+    /// For when this program ends without a word.
+    guard: Guard,
     program: PathBuf,
     folder: PathBuf,
     places: Vec<Place>,
@@ -177,8 +180,7 @@
             // A thread that panicked with it in hand has left it as it was.
             let mut process = process.lock().unwrap_or_else(|e| e.into_inner());
             if let Some(process) = process.as_mut() {
-                let _ = process.child.kill();
-                let _ = process.child.wait();
+                self.guard.end(&mut process.child);
             }
         }
         let _ = fs::remove_dir_all(&self.folder);
@@ -214,6 +216,7 @@
         let serial = std::process::id();
         let folder = std::env::temp_dir().join(format!("gaugestand-fleet-{serial}-{seed}-{nodes}"));
         fs::create_dir_all(&folder).map_err(io_text("a folder"))?;
+        let guard = Guard::over(&folder).map_err(io_text("a guard over the processes"))?;
         let fellows: Vec<_> = (0..nodes).map(|_| Arc::new(Mutex::new(None))).collect();
         let mut relays = BTreeMap::new();
         for (b, target) in fellows.iter().enumerate() {
@@ -222,6 +225,7 @@
             }
         }
         let mut rig = Rig {
+            guard,
             program: program.to_path_buf(),
             folder,
             places: Vec::new(),
@@ -288,12 +292,12 @@
         command.env_remove("BALANCER_NAME").env_remove("BALANCER_LISTEN").env_remove("BALANCER_ADMIN_ADDR");
         command.env_remove("TMPDIR").stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(io_text("the program"))?;
+        self.guard.watch(&child);
         let said = child.stderr.take().ok_or("no standard error")?;
         let mut process = Process { child, listen: String::new(), admin: None };
         let found = await_addresses(said, &mut process, &self.fellows[me]);
         if let Err(why) = found {
-            let _ = process.child.kill();
-            let _ = process.child.wait();
+            self.guard.end(&mut process.child);
             return Err(format!("{}: {why}", place.name));
         }
         *self.processes[me].lock().unwrap_or_else(|e| e.into_inner()) = Some(process);
@@ -312,8 +316,7 @@
     pub fn kill(&self, me: usize) {
         let taken = self.processes[me].lock().unwrap_or_else(|e| e.into_inner()).take();
         if let Some(mut process) = taken {
-            let _ = process.child.kill();
-            let _ = process.child.wait();
+            self.guard.end(&mut process.child);
         }
     }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod checkers;
 pub mod fleet;
+pub mod guard;
 pub mod net;
 pub mod site;
 pub mod standins;
