Plant defects of agreement in a build of its own, and hold the rig's longest contradiction to less

Need: nothing showed that the rig of real processes can fail. The feature is off in any build that serves.

--- a/crates/fleet/src/effect.rs
+++ b/crates/fleet/src/effect.rs
@@ -51,6 +51,24 @@
     Overtakes,
 }
 
+#[cfg(feature = "planted")]
+impl Defect {
+    /// All of them, by the names that people give them.
+    pub const NAMED: [(&str, Defect); 6] = [
+        ("no-margin", Defect::NoMargin),
+        ("at-once", Defect::AtOnce),
+        ("renewed-alone", Defect::RenewedAlone),
+        ("from-answer", Defect::FromAnswer),
+        ("says-yes", Defect::SaysYes),
+        ("overtakes", Defect::Overtakes),
+    ];
+
+    /// The one of this name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::NAMED.iter().find(|(known, _)| *known == name).map(|(_, defect)| *defect)
+    }
+}
+
 /// What holds for all nodes of a fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,6 +10,7 @@
 use std::ops::Range;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 use std::time::Instant;
 
 #[derive(Clone, Debug)]
@@ -26,6 +27,7 @@
         secs: u64,
         faults: String,
         program: Option<PathBuf>,
+        most: u64,
         json: bool,
     },
     /// Find the fewest faults that still break the rule.
@@ -73,7 +75,11 @@
             long("program").help("The node; else the one beside this program").argument("FILE").optional();
         let json = long("json").help("Print one last line of JSON").switch();
         let secs = long("secs").help("How long faults are thrown (20)").argument("SECONDS").fallback(20);
-        construct!(Command::Fleet { nodes, seed, runs, secs, faults, program, json })
+        let most = long("most")
+            .help("Longest contradiction that is let pass; what is stated else. Leases leave none, but for pauses")
+            .argument("MS")
+            .fallback(fleet::CONTRADICT_MS);
+        construct!(Command::Fleet { nodes, seed, runs, secs, faults, program, most, json })
             .to_options()
             .descr("Start several real processes, throw faults between them, and check what they do")
             .command("fleet")
@@ -154,7 +160,7 @@
     seeds: Range<u64>,
     secs: u64,
     program: Option<PathBuf>,
-    json: bool,
+    (most, json): (Duration, bool),
 ) -> Result<bool, String> {
     let program = node_program(program)?;
     let (mut violations, first) = (0, seeds.start);
@@ -163,7 +169,14 @@
         let plan = fleet::plan(seed, nodes, secs.saturating_mul(1000));
         // Of the plan: when real processes do what is not the seed's.
         digest.update(format!("{plan:?}").as_bytes());
-        let outcome = fleet::play(&program, nodes, seed, &plan)?;
+        let mut outcome = fleet::play(&program, nodes, seed, &plan)?;
+        if outcome.longest > most && outcome.violations.is_empty() {
+            let seen = format!(
+                "two processes acted on versions that contradict each other for {:?}",
+                outcome.longest
+            );
+            outcome.violations.push(fleet::Violation { rule: "no contradiction longer than --most", seen });
+        }
         println!("seed {seed}, {nodes} processes: {outcome}");
         // The same thing seen again and again is told a few times.
         for v in outcome.violations.iter().take(5) {
@@ -214,7 +227,7 @@
             println!("  digest {}", outcome.digest);
             Ok(outcome.violations.is_empty())
         }
-        Command::Fleet { nodes, seed, runs, secs, faults, program, json } => {
+        Command::Fleet { nodes, seed, runs, secs, faults, program, most, json } => {
             if faults == "rest" {
                 rest(nodes, secs, program)
             } else if faults != "accord" {
@@ -222,7 +235,8 @@
             } else if !(1..=7).contains(&nodes) {
                 Err("--nodes: from 1 to 7".into())
             } else {
-                play_fleet(nodes, seed..seed.saturating_add(runs), secs, program, json)
+                let most = Duration::from_millis(most);
+                play_fleet(nodes, seed..seed.saturating_add(runs), secs, program, (most, json))
             }
         }
         Command::Shrink { virtual_secs, seed } => {
--- a/crates/node/src/fellows.rs
+++ b/crates/node/src/fellows.rs
@@ -44,6 +44,19 @@
 /// Time between two lines that say the same of a fellow.
 const REPEAT: Micros = Micros::millis(10_000);
 
+/// Terms with the defect that the environment names.
+#[cfg(feature = "planted")]
+fn planted(terms: Terms) -> Result<Terms, String> {
+    use gaugestand_fleet::effect::Defect;
+    let Ok(name) = std::env::var("GAUGESTAND_PLANTED") else { return Ok(terms) };
+    let defect = Defect::named(&name).ok_or_else(|| {
+        let known: Vec<&str> = Defect::NAMED.iter().map(|d| d.0).collect();
+        format!("GAUGESTAND_PLANTED: there is no defect {name:?}; there are {}", known.join(", "))
+    })?;
+    tracing::warn!(name, "a defect is planted: this build is for checks alone");
+    Ok(terms.planted(defect))
+}
+
 /// What the node has to do for the fleet.
 #[derive(Debug)]
 pub enum News {
@@ -141,6 +154,8 @@
         let lease = Micros::millis(settings.contradict_ms);
         let terms = Terms::new(settings.members.len(), lease, settings.drift_ppm);
         let terms = terms.map_err(|e| format!("fleet: its times make no sense: {e:?}"))?;
+        #[cfg(feature = "planted")]
+        let terms = planted(terms)?;
         let names: Vec<String> = settings.members.iter().map(|m| m.0.clone()).collect();
         let owner = format!("node {me} of fleet {:?} ({})", settings.name, names.join(", "));
         let (writer, found) = system.diary(&settings.path, &owner, writer_key)?;
