Have a node that leads and is to go hand that to one that votes

Seen on reading the change again: yield_lead took the lowest number that can be heard, voter or not, and the library passes over one that has no vote. With a learner of the lowest number 'remove' of the leader was answered 'another version is in work' for ever, and a drain gave nothing away: accord::yield_lead. tests/accord.rs: a fleet of one, a learner that does not catch up, a second voter; the first node is removed. Without the mend: Err(Busy) twenty times.

--- a/crates/fleet/src/accord.rs
+++ b/crates/fleet/src/accord.rs
@@ -441,9 +441,10 @@
 
     fn yield_lead(&mut self) {
         if self.leads()
-            && let Some(to) = self.linked.first()
+            // The library passes over one that has no vote, and would lead on.
+            && let Some(to) = self.members.voters().find(|n| self.linked.contains(n))
         {
-            self.raft.transfer_leader(raft_id(*to));
+            self.raft.transfer_leader(raft_id(to));
         }
     }
 
--- a/crates/fleet/tests/accord.rs
+++ b/crates/fleet/tests/accord.rs
@@ -418,3 +418,27 @@
 fn a_fleet_has_one_course_by_its_seed() {
     assert_eq!(broken(5, true, None, false), broken(5, true, None, false));
 }
+
+// Guards against a node that leads and is to go, and offers that again and again to one that may not lead.
+#[test]
+fn who_leads_gives_that_to_a_voter_before_it_goes() {
+    let mut fleet = Fleet::new(0, 1, true, None, false);
+    fleet.course.keep(|h| matches!(h, Happens::Tick(_)));
+    // It stays a learner, and has the lowest number of all that the first one can hear.
+    fleet.nodes[1].asleep = u64::MAX;
+    let join = |n: u16| Change::Join { name: format!("p{n}"), address: at(10_000 + n) };
+    let changes = [join(1), join(2), Change::Leave { number: 0, force: false }];
+    for (step, change) in changes.into_iter().enumerate() {
+        let agreed = (0..20).any(|attempt| {
+            let ticket = 100 * step as u64 + attempt;
+            fleet.step(0, Event::Change { ticket, change: change.clone() });
+            let end = fleet.now + 3_000_000;
+            fleet.run(end);
+            fleet.now = end;
+            matches!(fleet.answered.get(&ticket), Some(Ok(_)))
+        });
+        assert!(agreed, "{change:?}: {:?}", fleet.answered);
+    }
+    let members = fleet.nodes[2].accord.as_ref().map(|a| a.members().voters().collect::<Vec<_>>());
+    assert_eq!(members, Some(vec![2]));
+}
