--- a/benches/record.rs
+++ b/benches/record.rs
@@ -15,7 +15,6 @@
 use hdrhistogram::Histogram;
 use peers::*;
 use rusqlite::Connection;
-use serde_json::Value;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
