--- a/src/main.rs
+++ b/src/main.rs
@@ -120,7 +120,9 @@
     let number = |name: &'static str| positional::<u64>(name);
     let command = |task: Box<dyn Parser<fleet::Task>>, descr: &'static str, name: &'static str| {
         let whom = whom();
-        construct!(Command::Fleet(task, whom)).to_options().descr(descr).command(name)
+        // What stands without a name goes last: help cannot be printed otherwise.
+        let both = construct!(whom, task).map(|(whom, task)| Command::Fleet(task, whom));
+        both.to_options().descr(descr).command(name)
     };
     let status =
         command(pure(fleet::Task::Status).boxed(), "How the fleet stands, as this node sees it", "status");
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -326,3 +326,14 @@
     let last = rig.ask(1, "REMOVE n1").expect_err("the last one");
     assert!(last.contains("the last node that votes"), "{last}");
 }
+
+// Guards against a sub-command whose help ends in a panic: what it takes without a name has to stand last.
+#[test]
+fn each_sub_command_says_how_it_is_used() {
+    for name in ["status", "history", "show", "diff", "propose", "rollback", "join", "remove"] {
+        let said =
+            std::process::Command::new(program()).args(["fleet", name, "--help"]).output().expect("it runs");
+        let help = String::from_utf8_lossy(&said.stdout).into_owned();
+        assert!(said.status.success() && help.contains("Usage"), "{name}: {help} {said:?}");
+    }
+}
