Take a store's reply that comes in slow pieces, and no answer to a check that was never asked

Only a ticket that is out, or one of the last eight that were given up, shows something. The peers' listeners have a limit of time now: a test that waited for a link that never came ran for 20 minutes without one.

--- a/crates/node/src/checks.rs
+++ b/crates/node/src/checks.rs
@@ -9,6 +9,7 @@
 use super::io::System;
 use super::kernel::Kernel;
 use gaugestand_core::facade::Micros;
+use std::collections::VecDeque;
 
 /// A check that the kernel has not answered by then has failed.
 const CHECK: Micros = Micros::millis(3_000);
@@ -16,6 +17,9 @@
 /// its own that the work no longer gets done.
 pub const FRESH: Micros = Micros::millis(1_000);
 
+/// Most of those that were given up whose end still counts.
+const MOST_GIVEN_UP: usize = 8;
+
 /// A check that waits.
 #[derive(Debug)]
 struct Waiting {
@@ -24,12 +28,22 @@
     since: Micros,
 }
 
+/// The one that the kernel is asked to do: its ticket, since when, and the number of the link that it was asked on.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    ticket: u64,
+    since: Micros,
+    link: u64,
+}
+
 /// The checks that wait, and what the last one has shown.
 #[derive(Debug, Default)]
 pub struct Checks {
     open: Vec<Waiting>,
-    /// The kernel is at it: since when, and the number of the link that it was asked on.
-    asked: Option<(Micros, u64)>,
+    /// The kernel is at it.
+    asked: Option<Asked>,
+    /// Tickets of those that were given up and may end after all.
+    given_up: VecDeque<u64>,
     /// What it has shown, and when.
     shown: Option<(bool, Micros)>,
 }
@@ -45,10 +59,17 @@
         None
     }
 
-    /// The kernel has done the work of one, well or not; returns those that it answers. One that was given up shows as much
-    /// when it ends after all.
-    pub fn posted(&mut self, now: Micros, good: bool) -> Vec<(ConnId, u16)> {
-        (self.asked, self.shown) = (None, Some((good, now)));
+    /// The kernel has done the work of the one with this ticket, well or not; returns those that it answers. One that was
+    /// given up shows as much when it ends after all; one that was never asked for shows nothing.
+    pub fn posted(&mut self, now: Micros, ticket: u64, good: bool) -> Vec<(ConnId, u16)> {
+        let late = self.given_up.iter().position(|t| *t == ticket);
+        if late.and_then(|at| self.given_up.remove(at)).is_none() {
+            if self.asked.is_none_or(|asked| asked.ticket != ticket) {
+                return Vec::new();
+            }
+            self.asked = None;
+        }
+        self.shown = Some((good, now));
         self.open.drain(..).map(|w| (w.conn, w.fcgi)).collect()
     }
 
@@ -65,11 +86,16 @@
         self.open.retain(|w| !late(w));
         let link = kernel.link_number();
         // Guards against a question that was lost: without this nothing would ever be asked again.
-        self.asked = self.asked.filter(|(since, on)| *on == link && now.since(*since) < CHECK);
+        let lost = |asked: &mut Asked| asked.link != link || now.since(asked.since) >= CHECK;
+        if let Some(asked) = self.asked.take_if(lost) {
+            self.given_up.push_back(asked.ticket);
+            if self.given_up.len() > MOST_GIVEN_UP {
+                self.given_up.pop_front();
+            }
+        }
         // Guards against a check that fails as the link breaks for a moment: the work still gets done.
         if self.asked.is_none() && !self.open.is_empty() && kernel.is_linked() {
-            kernel.post();
-            self.asked = Some((now, link));
+            self.asked = Some(Asked { ticket: kernel.post(), since: now, link });
             counters.posts_sent += 1;
         }
         over
@@ -77,7 +103,7 @@
 
     /// When to call [`Checks::post`] again although nothing comes.
     pub fn wake(&self) -> Option<Micros> {
-        let asked = self.asked.map(|(since, _)| since).filter(|_| !self.open.is_empty());
+        let asked = self.asked.map(|asked| asked.since).filter(|_| !self.open.is_empty());
         self.open.iter().map(|w| w.since).chain(asked).min().map(|since| since.plus(CHECK))
     }
 }
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -295,10 +295,11 @@
         self.send(&format!(r#"{{"event":"SYSINFO","ticket":"{}"}}"#, self.ticket));
     }
 
-    /// Asks for the work of a deep check.
-    pub fn post(&mut self) {
+    /// Asks for the work of a deep check; returns its ticket.
+    pub fn post(&mut self) -> u64 {
         self.ticket += 1;
         self.send(&format!(r#"{{"event":"POST","ticket":"{}"}}"#, self.ticket));
+        self.ticket
     }
 
     /// The poller has something for this link.
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -22,7 +22,7 @@
 const IDLE: Micros = Micros::millis(100);
 /// A reply that has not come this long after the call's time counts as late.
 const OVERTIME: Micros = Micros::millis(200);
-/// A reply of which a part has come is spoilt if the rest has not come by then.
+/// A reply of which a part has come is spoilt if nothing more of it comes for this long.
 const STALLED: Micros = Micros::millis(250);
 /// Most connections, whatever the descriptors.
 pub const MOST_LANES: usize = 64;
@@ -127,7 +127,7 @@
     serial: u64,
     /// Last time that a call or a reply passed.
     used: Micros,
-    /// Since when a reply has come in part.
+    /// When a part of a reply has last come, of which the rest is still to come.
     partial: Option<Micros>,
     /// Takes no more calls: its address is out of date, or a reply never came on it.
     retired: bool,
@@ -160,8 +160,8 @@
         }
     }
 
-    /// Takes the replies that were read; appends the calls that they end.
-    fn take_replies(&mut self, now: Micros, counters: &mut Counters, out: &mut Vec<Ended>) {
+    /// Takes the replies that were read, `more` if anything was just now; appends the calls that they end.
+    fn take_replies(&mut self, now: Micros, more: bool, counters: &mut Counters, out: &mut Vec<Ended>) {
         loop {
             let (len, id, word) = match reply(self.link.input()) {
                 Reply::Part => break,
@@ -190,7 +190,9 @@
             }
             self.used = now;
         }
-        self.partial = if self.link.input().is_empty() { None } else { self.partial.or(Some(now)) };
+        // Counts from the last of it that came: a reply may come in pieces, and lasts no longer than its call.
+        let began = self.partial.filter(|_| !more).unwrap_or(now);
+        self.partial = Some(began).filter(|_| !self.link.input().is_empty());
     }
 
     /// Ends all calls as the link went down.
@@ -330,7 +332,7 @@
                 self.lanes[place] = None;
                 return out;
             }
-            None => lane.take_replies(now, counters, &mut out),
+            None => lane.take_replies(now, event.readable, counters, &mut out),
         }
         if let Some(due) = lane.due() {
             self.due = self.due.min(due);
--- a/crates/node/src/turn.rs
+++ b/crates/node/src/turn.rs
@@ -845,8 +845,8 @@
                     let gauges = self.kernel.gauges(&figures);
                     self.report(Report::Gauged(gauges));
                 }
-                Notice::Posted(_, good) => {
-                    for (conn, fcgi) in self.checks.posted(now, good) {
+                Notice::Posted(ticket, good) => {
+                    for (conn, fcgi) in self.checks.posted(now, ticket, good) {
                         self.end_check(conn, fcgi, good);
                     }
                 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -6,7 +6,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::ffi::{OsStr, OsString};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -201,6 +201,9 @@
         // Bound but not listening: connections are refused until a test lets it listen.
         let store = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         store.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        // Whoever waits for a link that never comes is told so.
+        store.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        SockRef::from(&kernel).set_read_timeout(Some(PATIENCE)).expect("a timeout");
         let members = UdpSocket::bind("127.0.0.1:0").expect("a port");
         members.set_read_timeout(Some(PATIENCE)).expect("a timeout");
         let port = |a: std::io::Result<SocketAddr>| a.expect("bound").port();
