Write once what three test files had of ids and of reading an answer

tests/node.rs, crossings.rs and bad_input.rs each had 'served' and the ids A, B and C; they are in tests/peers/mod.rs now.

--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -8,14 +8,6 @@
 use std::io::Read;
 use std::time::{Duration, Instant};
 
-const A: &str = "9b1f03aa5c7e2d41";
-const B: &str = "9b1f03aa5c7e2d42";
-const C: &str = "9b1f03aa5c7e2d43";
-
-fn served(answer: &Answer) -> (u16, &str, &[u8]) {
-    (answer.id, &answer.status[..3], &answer.body)
-}
-
 // Records of requests that were never begun, of kinds that no gateway sends, and bytes behind a request's end.
 #[test]
 fn records_that_belong_to_nothing_are_passed_over() {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -9,15 +9,8 @@
 use std::net::{Shutdown, TcpListener};
 use std::time::{Duration, Instant};
 
-const A: &str = "9b1f03aa5c7e2d41";
-const B: &str = "9b1f03aa5c7e2d42";
-const C: &str = "9b1f03aa5c7e2d43";
 const D: &str = "9b1f03aa5c7e2d44";
 
-fn served(answer: &Answer) -> (u16, &str, &[u8]) {
-    (answer.id, &answer.status[..3], &answer.body)
-}
-
 /// A scene whose program is stopped so many milliseconds after the notice.
 fn brief(stop_ms: u64) -> (Scene, Kernel) {
     let scene = Scene::new(|c| c["stop_ms"] = json!(stop_ms));
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -7,14 +7,6 @@
 use std::io::Write;
 use std::time::{Duration, Instant};
 
-const A: &str = "9b1f03aa5c7e2d41";
-const B: &str = "9b1f03aa5c7e2d42";
-const C: &str = "9b1f03aa5c7e2d43";
-
-fn served(answer: &Answer) -> (u16, &str, &[u8]) {
-    (answer.id, &answer.status[..3], &answer.body)
-}
-
 #[test]
 fn a_request_is_run_and_served_with_its_result_unchanged() {
     let (scene, mut kernel) = Scene::up();
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -657,6 +657,16 @@
     }
 }
 
+/// Ids of tries.
+pub const A: &str = "9b1f03aa5c7e2d41";
+pub const B: &str = "9b1f03aa5c7e2d42";
+pub const C: &str = "9b1f03aa5c7e2d43";
+
+/// The number, the status and the body of an answer.
+pub fn served(answer: &Answer) -> (u16, &str, &[u8]) {
+    (answer.id, &answer.status[..3], &answer.body)
+}
+
 /// A record with padding, as some gateways send it.
 pub fn record(kind: u8, id: u16, content: &[u8]) -> Vec<u8> {
     let padding = (8 - content.len() % 8) % 8;
