--- a/review/common/lib.rs
+++ b/review/common/lib.rs
@@ -679,11 +679,11 @@
         }
     }
 
-    /// Sends a line. Where notices arrive in pieces, one in five does so: its second half, and what the kernel says
+    /// Sends a line. Where notices arrive in pieces, one in three does so: its second half, and what the kernel says
     /// in the meantime, arrives after a pause.
     fn line(&mut self, text: &str) {
         let line = format!("{text}\n").into_bytes();
-        let is_split = self.max_pause_ms > 0.0 && self.silent_until.is_none() && self.rng.next() % 5 == 0;
+        let is_split = self.max_pause_ms > 0.0 && self.silent_until.is_none() && self.rng.next() % 3 == 0;
         if !is_split {
             return self.write(&line);
         }
