--- a/review/common/lib.rs
+++ b/review/common/lib.rs
@@ -538,6 +538,8 @@
     /// Output that waits while the kernel's side of the link is silent.
     held_back: Vec<u8>,
     silent_until: Option<Instant>,
+    /// Results are filled up to this many bytes.
+    result_bytes: usize,
     /// Longest pause in milliseconds between the two pieces of a notice; 0 if notices arrive whole.
     max_pause_ms: f64,
 }
@@ -568,6 +570,7 @@
             started: Instant::now(),
             held_back: Vec::new(),
             silent_until: None,
+            result_bytes: 0,
             max_pause_ms: 0.0,
         };
         let kernel = Kernel { state: Arc::new((Mutex::new(state), Condvar::new())), address };
@@ -609,6 +612,11 @@
         }
     }
 
+    /// From now on results have at least this many bytes.
+    pub fn fill_results(&self, bytes: usize) {
+        lock(&self.state.0).result_bytes = bytes;
+    }
+
     /// From now on notices arrive in pieces, with a pause of up to this many milliseconds between them.
     pub fn send_in_pieces(&self, max_pause_ms: f64) {
         lock(&self.state.0).max_pause_ms = max_pause_ms;
@@ -817,6 +825,9 @@
             result.extend(b"; ");
             result.extend(reply);
         }
+        if result.len() < self.result_bytes {
+            result.resize(self.result_bytes, b'.');
+        }
         lock(&self.world).results.entry(id.to_string()).or_default().push(result.clone());
         self.note.line(&format!("kernel: run {number} of {id} ends good"));
         let lasted = run.started.elapsed().as_secs_f64() * 1000.0;
@@ -844,7 +855,8 @@
     match &answer {
         None => note.line(&format!("gateway: {} gets no whole answer", attempt.txn)),
         Some(answer) => {
-            note.line(&format!("gateway: {} gets {} {:?}", attempt.txn, answer.status, String::from_utf8_lossy(&answer.body)));
+            let text = String::from_utf8_lossy(&answer.body);
+            note.line(&format!("gateway: {} gets {} {:?}", attempt.txn, answer.status, text.trim_end_matches('.')));
             if answer.status == 200 {
                 let mut tries: HashSet<&String> = HashSet::new();
                 for (id, other) in &world.sent {
