Bound the memory of all connections and open requests together

Cause: every bound was for one request or one connection. A path was copied whole, up to 16 KiB, before its class was looked up; parameters, bodies, records and unread answers added up over all connections. Keys alone could take half of the memory in each of the two processes of a replacement. Change: a budget of an eighth of the memory for connections and open requests. An estimate grows with each read; only when it exceeds the budget is everything counted, and incomplete requests are rejected (OVERLOADED, never ran), on the largest connections without a served request first. A path over 1 KiB is not kept. Short pieces of output are joined, as each took some 90 bytes beyond its own. Keys may take a quarter. Links keep 128 KiB of input instead of 1 MiB; the counts of recent reads are bounded. Counters: requests_over_memory, connection_bytes, connection_bytes_peak.

--- a/crates/admission/src/controller/queue.rs
+++ b/crates/admission/src/controller/queue.rs
@@ -24,6 +24,10 @@
 /// than a fiftieth of its count is left.
 const READ_KEY_RETENTION: f64 = 4.0;
 
+/// Maximum number of resource keys whose reads are counted. Clients choose the keys; a read of a further key
+/// counts as the only one.
+const MAX_RECENT_READS: usize = 10_000;
+
 /// Position in the admission queue or in the queue for outbound calls; the lowest key is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct QueueKey {
@@ -54,6 +58,9 @@
     /// Counts a read of this key; returns the number of requests that one run of it is expected to serve, 1
     /// or more. `served_for_s` is the time for which one answer serves other reads, in seconds.
     pub(super) fn expected_coalescing(&mut self, key: (u64, usize), now: Time, served_for_s: f64) -> f64 {
+        if self.recent_reads.len() >= MAX_RECENT_READS && !self.recent_reads.contains_key(&key) {
+            return 1.0;
+        }
         let count = self.recent_reads.entry(key).or_insert(ReadCount { reads: 0.0, last_read: now });
         let since_last_s = (now - count.last_read).secs();
         count.reads = count.reads * (-since_last_s / served_for_s).exp() + 1.0;
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -57,9 +57,12 @@
     pub stop_timeout: Micros,
     /// Maximum number of file descriptors that the process may have; at least `MIN_DESCRIPTORS`.
     pub max_descriptors: usize,
-    /// Maximum size in bytes of idempotency keys and results that are kept without an idempotency store: half
-    /// of the process's memory, or unlimited if the file does not state the memory.
+    /// Maximum size in bytes of idempotency keys and results that are kept without an idempotency store: a
+    /// quarter of the node's memory, or unlimited if the file does not state the memory.
     pub max_volatile_bytes: usize,
+    /// Maximum memory in bytes that gateways' connections and open requests may take: an eighth of the node's
+    /// memory, or unlimited if the file does not state the memory.
+    pub max_connection_bytes: usize,
     /// Names of the classes, by the index of the class in `settings`.
     pub classes: Vec<String>,
     /// Whether a class is keyed, by the index of the class.
--- a/crates/node/src/config/validation.rs
+++ b/crates/node/src/config/validation.rs
@@ -11,9 +11,12 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 
-/// Share of the process's memory that idempotency keys and their results may take; the rest is for open
-/// requests.
-const VOLATILE_MEMORY_SHARE: f64 = 0.5;
+/// Share of the node's memory that the idempotency keys and results of one process may take. While a process
+/// is replaced, two processes keep all keys.
+const VOLATILE_MEMORY_SHARE: f64 = 0.25;
+/// Share of the node's memory that the connections of gateways and the open requests of one process may take.
+/// The rest is for the program itself, its links and the allocator.
+const CONNECTION_MEMORY_SHARE: f64 = 0.125;
 /// Maximum of a count, such as cores, callers or megabytes. A higher value is rejected as a mistake.
 const MAX_COUNT: f64 = 1e6;
 /// Maximum of a quantity, such as a weight or kilobytes. A higher value is rejected as a mistake.
@@ -30,11 +33,9 @@
     if max_descriptors < MIN_DESCRIPTORS {
         return invalid("limits.sockets", Problem::TooFewDescriptors(MIN_DESCRIPTORS));
     }
-    let max_volatile_bytes = match raw.limits.memory_mb {
-        None => usize::MAX,
-        Some(mb) if (1.0..=MAX_COUNT).contains(&mb) => {
-            (mb * VOLATILE_MEMORY_SHARE * 1024.0 * 1024.0) as usize
-        }
+    let memory_bytes = match raw.limits.memory_mb {
+        None => f64::INFINITY,
+        Some(mb) if (1.0..=MAX_COUNT).contains(&mb) => mb * 1024.0 * 1024.0,
         Some(_) => return invalid("limits.memory_mb", Problem::OutOfRange),
     };
     if raw.stop_ms == 0 {
@@ -57,7 +58,8 @@
         seed,
         stop_timeout: Micros::millis(raw.stop_ms),
         max_descriptors,
-        max_volatile_bytes,
+        max_volatile_bytes: (memory_bytes * VOLATILE_MEMORY_SHARE) as usize,
+        max_connection_bytes: (memory_bytes * CONNECTION_MEMORY_SHARE) as usize,
         keyed: settings.classes.iter().map(|class| class.effect == Effect::Keyed).collect(),
         classes: raw.settings.classes.into_iter().map(|class| class.name).collect(),
         gauge_names: raw.settings.extra.gauge_names,
--- a/crates/node/src/connections/connection.rs
+++ b/crates/node/src/connections/connection.rs
@@ -185,6 +185,37 @@
         }
     }
 
+    // ---- Memory --------------------------------------------------------------------------------------
+
+    /// Bytes of memory that the connection takes, with its open requests and its output.
+    pub fn memory_bytes(&self) -> usize {
+        let state = &self.state;
+        let requests = state.open_requests.values().map(OpenRequest::memory_bytes).sum::<usize>();
+        size_of::<Self>() + state.partial_record.capacity() + state.output.memory_bytes() + requests
+    }
+
+    /// FastCGI ids of the requests of which not all records have been read.
+    pub fn incomplete_requests(&self) -> Vec<u16> {
+        let open = self.state.open_requests.iter();
+        let incomplete = open.filter(|(_, request)| matches!(request, OpenRequest::Incoming(..)));
+        incomplete.map(|(fcgi_id, _)| *fcgi_id).collect()
+    }
+
+    /// Whether the input ends with an incomplete record.
+    pub fn has_partial_record(&self) -> bool {
+        !self.state.partial_record.is_empty()
+    }
+
+    /// Whether any request of the connection was answered with a result.
+    pub fn has_served(&self) -> bool {
+        self.state.has_served
+    }
+
+    /// Whether output waits that the other side has not read.
+    pub fn is_unread(&self) -> bool {
+        self.state.write_blocked_since.is_some()
+    }
+
     // ---- State ---------------------------------------------------------------------------------------
 
     /// Whether the connection is in its lingering close: its write side is shut.
--- a/crates/node/src/connections/mod.rs
+++ b/crates/node/src/connections/mod.rs
@@ -28,7 +28,7 @@
 
 pub use connection::{Connection, ConnectionState};
 pub use idle::Expired;
-pub use table::ConnectionTable;
+pub use table::{ConnectionMemory, ConnectionTable};
 
 /// Maximum number of bytes that are read from one connection at a time, so that one connection does not delay
 /// the others.
@@ -40,6 +40,10 @@
 /// memory that one gateway can use.
 pub const MAX_OPEN_REQUESTS: usize = 32;
 
+/// Memory that an entry in the map of a connection's open requests takes, in bytes: the map's nodes are at
+/// least half full.
+const OPEN_REQUEST_BYTES: usize = 2 * (size_of::<OpenRequest>() + size_of::<u16>());
+
 /// Identifies a connection. A slot of the table, and with it a poller key, is reused after a connection was
 /// closed; a later connection in the same slot has another serial number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -90,6 +94,13 @@
         }
     }
 
+    /// Bytes of memory that the request takes in the table of connections. What is kept of an admitted
+    /// attempt is counted by its owner.
+    fn memory_bytes(&self) -> usize {
+        let incoming = if let OpenRequest::Incoming(request, ..) = self { request.memory_bytes() } else { 0 };
+        OPEN_REQUEST_BYTES + incoming
+    }
+
     /// The id of the attempt whose answer is pending; none if the engine has not taken the request.
     fn admitted(self) -> Option<RequestId> {
         if let OpenRequest::Admitted(id, _) = self { Some(id) } else { None }
--- a/crates/node/src/connections/table.rs
+++ b/crates/node/src/connections/table.rs
@@ -14,6 +14,17 @@
 /// the answers.
 pub(super) const MAX_UNWRITTEN_BYTES: usize = 192 * 1024;
 
+/// The memory that one connection takes.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionMemory {
+    /// The connection.
+    pub id: ConnectionId,
+    /// Whether any request of the connection was answered with a result.
+    pub has_served: bool,
+    /// Bytes of memory that the connection takes.
+    pub bytes: usize,
+}
+
 /// The listener for gateways and the connections that it has accepted.
 #[derive(Debug)]
 pub struct ConnectionTable<S: System> {
@@ -148,6 +159,24 @@
         }
     }
 
+    // ---- Memory --------------------------------------------------------------------------------------
+
+    /// Bytes of memory that all connections take, with their open requests and output.
+    pub fn memory_bytes(&self) -> usize {
+        let table = self.slots.capacity() * size_of::<Option<Connection<S::Stream>>>();
+        table + self.slots.iter().flatten().map(Connection::memory_bytes).sum::<usize>()
+    }
+
+    /// The memory that each connection takes.
+    pub fn memory_by_connection(&self) -> Vec<ConnectionMemory> {
+        let usage = |connection: &Connection<S::Stream>| ConnectionMemory {
+            id: connection.state.id,
+            has_served: connection.has_served(),
+            bytes: connection.memory_bytes(),
+        };
+        self.slots.iter().flatten().map(usage).collect()
+    }
+
     // ---- Writing and closing -------------------------------------------------------------------------
 
     /// Marks a connection for the next flush: it has output to write, or may have to be closed.
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -76,6 +76,13 @@
     /// Requests that failed before they reached admission: a malformed field, an unknown path or class, their
     /// size, a conflict of their id or idempotency key, or records that did not arrive in time.
     requests_bad,
+    /// Requests that were rejected because the memory for gateways' connections was used up; none of them
+    /// ran.
+    requests_over_memory,
+    /// Bytes of memory that gateways' connections and open requests take now.
+    connection_bytes,
+    /// Most bytes of memory that gateways' connections and open requests were found to take since the start.
+    connection_bytes_peak,
     /// Losses of the FastCGI framing on a connection: an invalid record, or one whose remaining bytes did not
     /// arrive in time. Nothing more is read from the connection.
     framing_lost,
--- a/crates/node/src/event_loop/handover/predecessor.rs
+++ b/crates/node/src/event_loop/handover/predecessor.rs
@@ -165,6 +165,7 @@
         );
         self.exit_deadline = Some(self.clock.now().plus(self.config.stop_timeout));
         self.connections.pause(true);
+        self.free_memory_for_handover();
         let state = self.final_state();
         self.kernel.unlink();
         self.handover.inherited_kernels.iter_mut().for_each(|inherited| inherited.kernel.unlink());
--- a/crates/node/src/event_loop/handover/successor.rs
+++ b/crates/node/src/event_loop/handover/successor.rs
@@ -154,6 +154,7 @@
             }
         }
         self.connections.pause(false);
+        self.count_memory();
     }
 
     fn drop_received_state(&mut self) {
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -11,6 +11,7 @@
 //! - `commands`: executes the engine's commands
 //! - `kernel_events`: notices of the kernel and outcomes of outbound calls
 //! - `health`: gateways' health checks
+//! - `memory`: the budget of memory for connections and open requests
 //! - `drain`: the drain, from SIGTERM or SIGINT to the exit
 //! - `reload`: reload of the configuration on SIGHUP
 //! - `admin_calls`: operators' calls at the second address
@@ -34,6 +35,7 @@
 use super::kernel::Kernel;
 use super::log::Logs;
 use super::membership_reports::MembershipReports;
+use super::memory_budget::MemoryBudget;
 use super::peers::{self, Peers};
 use super::request::RequestError;
 use super::request_metrics::RequestMetrics;
@@ -63,6 +65,7 @@
 mod health;
 mod kernel_events;
 mod keys;
+mod memory;
 mod reload;
 mod requests;
 
@@ -98,6 +101,8 @@
     keyed_classes: Vec<bool>,
     /// Admitted attempts, until the engine forgets them.
     attempts: BTreeMap<RequestId, AttemptState>,
+    /// Memory that gateways' connections and open requests may take.
+    memory_budget: MemoryBudget,
     /// State of the hand-over to and from other processes of this node.
     handover: HandoverState<S>,
     health_checks: HealthChecks,
@@ -184,6 +189,7 @@
             class_slots: ClassSlots::new(&config.classes),
             keyed_classes: config.keyed.clone(),
             attempts: BTreeMap::new(),
+            memory_budget: MemoryBudget::new(config.max_connection_bytes),
             handover,
             health_checks: HealthChecks::default(),
             termination_signals,
@@ -324,6 +330,7 @@
         for request in expired.unfinished {
             self.fail_incomplete(request, RequestError::Incomplete);
         }
+        self.enforce_memory_budget();
     }
 
     /// Reports to the membership service, but not before the kernel has started. Returns when the next report
@@ -365,6 +372,7 @@
     }
 
     fn print_counters(&mut self) {
+        self.count_memory();
         let key_table = self.engine.idempotency();
         let circuit_open = key_table.breaker_state() != BreakerState::Closed;
         self.counters.read_idempotency(key_table.metrics(), circuit_open);
--- a/crates/node/src/event_loop/reload.rs
+++ b/crates/node/src/event_loop/reload.rs
@@ -93,6 +93,7 @@
     /// any more, the old password stays in use.
     fn apply_operator_settings(&mut self, config: &Config) {
         self.engine.idempotency().set_max_bytes(config.max_volatile_bytes);
+        self.memory_budget.set_limit(config.max_connection_bytes);
         let Some(stored) = &config.operators.record else { return };
         if let Backend::Postgres { password_file, .. } = &stored.backend
             && let Ok(password) = idempotency_store::password(password_file)
--- a/crates/node/src/event_loop/requests.rs
+++ b/crates/node/src/event_loop/requests.rs
@@ -44,7 +44,11 @@
         };
         match read {
             Ok(0) => self.connections.touch(id),
-            Ok(length) => self.process_input(id, &buffer[..length]),
+            Ok(length) => {
+                self.memory_budget.note_read(length);
+                self.process_input(id, &buffer[..length]);
+                self.enforce_memory_budget();
+            }
             Err(_) => self.close_connection(id),
         }
     }
@@ -143,7 +147,7 @@
     }
 
     fn admit(&mut self, request: RequestRef, keeps_connection: bool, params: AttemptParams, body: Vec<u8>) {
-        if let Some(rejection) = self.reject_by_version(&params) {
+        if let Some(rejection) = self.reject_by_version(&params).or_else(|| self.reject_by_memory()) {
             self.counters.answers_rejected += 1;
             self.request_metrics.record_reply(self.class_slots.name(params.class), ReplyOutcome::Overload);
             return self.respond(request, keeps_connection, &rejection);
@@ -239,7 +243,7 @@
         self.notify_engine(EngineEvent::CallerGone(id));
     }
 
-    fn close_connection(&mut self, id: ConnectionId) {
+    pub(super) fn close_connection(&mut self, id: ConnectionId) {
         let gone = self.connections.close(id);
         self.on_callers_gone(gone);
     }
@@ -254,6 +258,7 @@
             return;
         };
         connection.respond(request.fcgi_id, keeps_connection, response);
+        self.memory_budget.note_growth(response.body.len());
         self.connections.touch(request.connection);
     }
 
--- a/crates/node/src/io/link.rs
+++ b/crates/node/src/io/link.rs
@@ -24,7 +24,9 @@
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Length of the input buffer, in bytes, at which an iteration stops reading, so that a peer that sends
 /// without end does not hold up the event loop.
-const MAX_INPUT_BYTES: usize = 1 << 20;
+const MAX_INPUT_BYTES: usize = 128 * 1024;
+/// Capacity of the empty input buffer, in bytes, above which its memory is released.
+const MAX_IDLE_CAPACITY: usize = 64 * 1024;
 /// Maximum number of bytes that may wait to be written after a flush. A link with more is closed, as its peer
 /// does not read.
 const MAX_UNWRITTEN_BYTES: usize = 4 << 20;
@@ -239,6 +241,9 @@
     /// Removes this many bytes from the front of the input buffer.
     pub fn consume(&mut self, bytes: usize) {
         self.input.drain(..bytes.min(self.input.len()));
+        if self.input.is_empty() && self.input.capacity() > MAX_IDLE_CAPACITY {
+            self.input = Vec::new();
+        }
     }
 
     /// Called at the end of each iteration: writes what the connection takes, and ends a connection that the
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod kernel;
 pub mod log;
 pub mod membership_reports;
+mod memory_budget;
 #[cfg(test)]
 mod parser_tests;
 pub mod peers;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -20,6 +20,9 @@
 /// Maximum number of bytes kept of a name-value pair that is split across records and is therefore copied. A
 /// longer pair must lie in one record.
 const MAX_SPLIT_PAIR_BYTES: usize = 4096;
+/// Maximum length of the path, in bytes. The path of an attempt is a short prefix and the name of a class; a
+/// longer path is that of no class, and is not kept.
+const MAX_PATH_BYTES: usize = 1024;
 /// Maximum length of an idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 64;
 /// Limit, in milliseconds, below which work hints and caller timeouts must be; about eleven days: no request
@@ -205,6 +208,12 @@
     u64::from_str_radix(std::str::from_utf8(value).ok()?, 16).ok()
 }
 
+/// Parses a path of at most [`MAX_PATH_BYTES`].
+fn parse_path(value: &[u8]) -> Option<String> {
+    let path = std::str::from_utf8(value).ok()?;
+    (path.len() <= MAX_PATH_BYTES).then(|| path.to_string())
+}
+
 /// Parses a non-negative integer.
 fn parse_integer(value: &[u8]) -> Option<u64> {
     std::str::from_utf8(value).ok()?.parse().ok()
@@ -224,7 +233,7 @@
         let malformed = RequestError::Malformed;
         match name {
             cgi::METHOD => self.is_post = value == b"POST",
-            cgi::PATH => self.path = String::from_utf8(value.to_vec()).or(Err(RequestError::NotFound))?,
+            cgi::PATH => self.path = parse_path(value).ok_or(RequestError::NotFound)?,
             cgi::QUERY => {
                 self.is_deep_check = value.split(|byte| *byte == b'&').any(|part| part == DEEP_CHECK_QUERY);
             }
@@ -309,6 +318,13 @@
 }
 
 impl IncomingRequest {
+    /// Bytes of memory that the request takes.
+    pub fn memory_bytes(&self) -> usize {
+        let key_bytes = self.params.repeat_key.as_ref().map_or(0, String::capacity);
+        let buffer_bytes = self.partial_pair.capacity() + self.body.capacity();
+        size_of::<IncomingRequest>() + self.params.path.capacity() + key_bytes + buffer_bytes
+    }
+
     /// Adds the content of a PARAMS record. An empty content ends the parameters.
     pub fn params(&mut self, content: &[u8]) {
         self.params_bytes += content.len();
--- a/crates/node/src/write_queue.rs
+++ b/crates/node/src/write_queue.rs
@@ -11,6 +11,9 @@
 /// Maximum number of pieces in one vectored write: enough for all answers that one iteration of the event
 /// loop queues for a connection, and small enough for an array on the stack.
 const MAX_IO_SLICES: usize = 64;
+/// Maximum length, in bytes, of a piece to which further owned bytes are appended. Each piece takes memory of
+/// its own, which is many times the length of the shortest records.
+const MAX_JOINED_BYTES: usize = 4096;
 
 #[derive(Clone, Debug)]
 enum Piece {
@@ -25,6 +28,15 @@
             Piece::Shared(bytes, range) => bytes.get(range.clone()).unwrap_or_default(),
         }
     }
+
+    /// Bytes of memory that the piece takes. Shared bytes count in full, as this may be the last reference.
+    fn memory_bytes(&self) -> usize {
+        let buffer_bytes = match self {
+            Piece::Owned(bytes) => bytes.capacity(),
+            Piece::Shared(bytes, _) => bytes.len(),
+        };
+        size_of::<Piece>() + buffer_bytes
+    }
 }
 
 /// The bytes that wait to be written to one socket, in the order in which they are sent.
@@ -48,15 +60,27 @@
         self.len == 0
     }
 
+    /// Bytes of memory that the queue takes.
+    pub fn memory_bytes(&self) -> usize {
+        self.pieces.iter().map(Piece::memory_bytes).sum()
+    }
+
     /// Copies all bytes that wait to be written into one vector.
     pub fn bytes(&self) -> Vec<u8> {
         let all: Vec<u8> = self.pieces.iter().flat_map(|piece| piece.bytes()).copied().collect();
         all.get(self.written_of_first..).unwrap_or_default().to_vec()
     }
 
-    /// Appends bytes to the queue.
+    /// Appends bytes to the queue. Short pieces are joined.
     pub fn push(&mut self, bytes: impl Into<Vec<u8>>) {
-        self.push_piece(Piece::Owned(bytes.into()));
+        let bytes = bytes.into();
+        match self.pieces.back_mut() {
+            Some(Piece::Owned(last)) if last.len() + bytes.len() <= MAX_JOINED_BYTES => {
+                self.len += bytes.len();
+                last.extend(bytes);
+            }
+            _ => self.push_piece(Piece::Owned(bytes)),
+        }
     }
 
     /// Appends the part `range` of shared bytes to the queue, without a copy.
