Do not repeat a kernel command that may have been read with an effect

Cause: after a reconnect the link took the answer to its question to show that a command without a notice was lost. It shows only that the run had come no further when the kernel answered. IODONE names no call, so a repeated one is given to whichever call the run waits for; a repeated SCHED starts a run that has just ended again. Change: kernel/unconfirmed.rs decides by a table. A command is sent again if no byte of it left the process, or if a second one has no effect (PREEMPT, NOIO, SCHED of a class without effects). The link reads up to the end before it writes, so that fewer commands go into a closed connection. A process that hands over first waits up to 50 ms until the kernel has read all commands, and tells the successor which it never sent. A reply is passed on only while the engine awaits that call. Counters: commands_in_doubt, runs_lost, replies_outdated.

--- a/crates/admission/src/engine/actions.rs
+++ b/crates/admission/src/engine/actions.rs
@@ -21,7 +21,10 @@
                 }
                 Action::Fail(id) => self.fail(now, id, commands),
                 Action::SkipCall(id) => {
-                    if self.attempts.get(id).is_some_and(|attempt| attempt.is_running()) {
+                    if let Some(attempt) = self.attempts.get_mut(id).filter(|attempt| attempt.is_running()) {
+                        if std::mem::take(&mut attempt.awaiting_call) {
+                            commands.push(EngineCommand::DropCall(id));
+                        }
                         commands.push(EngineCommand::SkipCall(id));
                     }
                 }
--- a/crates/admission/src/engine/mod.rs
+++ b/crates/admission/src/engine/mod.rs
@@ -34,7 +34,7 @@
 use crate::classes::SlotPlan;
 use crate::controller::Controller;
 use crate::idempotency::IdempotencyTable;
-use crate::interface::{Class, Effect, Event, Gauges, RequestId, Settings, SettingsError};
+use crate::interface::{Class, Effect, Event, Gauges, Preemption, RequestId, Settings, SettingsError};
 use crate::time::{Micros, Moment, Timestamp};
 use attempts::AttemptTable;
 use deadlines::{ControllerTimers, DueTimers, OVERDUE_GRACE};
@@ -235,6 +235,22 @@
         self.settings.classes.iter().map(|class| class.effect == Effect::Keyed).collect()
     }
 
+    /// Whether a run of a class in a slot may have an effect, so that the class's requests must not run
+    /// twice.
+    pub fn has_effect(&self, class: usize) -> bool {
+        self.settings.classes.get(class).is_none_or(|class| class.effect != Effect::Pure)
+    }
+
+    /// Whether the run of an attempt waits for an outbound call that the host has made.
+    pub fn awaits_call(&self, id: RequestId) -> bool {
+        self.attempts.get(id).is_some_and(|attempt| attempt.awaiting_call)
+    }
+
+    /// Whether the kernel accepts commands to stop a run.
+    pub fn can_preempt(&self) -> bool {
+        self.settings.preemption != Preemption::Never
+    }
+
     /// The longest deadline of any class, counted from the ingress of an attempt.
     pub fn longest_deadline(&self) -> Micros {
         self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default().into()
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -119,6 +119,12 @@
     lines_bad,
     /// Connections to the kernel that were established.
     kernel_links,
+    /// Commands to the kernel that a broken link may have lost and that must not be repeated.
+    commands_in_doubt,
+    /// Runs that count as failed because it stayed unknown whether the kernel read a command for them.
+    runs_lost,
+    /// Replies to outbound calls that came when their run waited for no call of this node any more.
+    replies_outdated,
     /// Outbound calls that were sent to the store.
     calls_sent,
     /// Outbound calls that were given up after they had been sent; the store is told to drop them.
--- a/crates/node/src/event_loop/commands.rs
+++ b/crates/node/src/event_loop/commands.rs
@@ -66,12 +66,13 @@
     fn start_run(&mut self, id: RequestId) {
         if let Some(attempt) = self.attempts.get_mut(&id) {
             let body = mem::take(&mut attempt.body);
-            self.kernel.run(id, self.class_slots.name(attempt.class), &body);
+            let has_effect = self.engine.has_effect(attempt.class);
+            self.kernel.run(id, self.class_slots.name(attempt.class), &body, has_effect);
             self.counters.runs_sent += 1;
         }
     }
 
-    fn preempt_run(&mut self, id: RequestId) {
+    pub(super) fn preempt_run(&mut self, id: RequestId) {
         self.kernel_of(id).preempt(id);
         self.counters.preemptions_sent += 1;
     }
--- a/crates/node/src/event_loop/dispatch.rs
+++ b/crates/node/src/event_loop/dispatch.rs
@@ -1,7 +1,7 @@
 //! Dispatches each readiness event of the poller to the component that the event's key belongs to.
 
 use super::keys::*;
-use super::{HandoverEvent, Node, cluster};
+use super::{Node, cluster};
 use crate::io::{Ready, System};
 use std::io::Read;
 
@@ -43,7 +43,7 @@
         empty_signal_pipe(&mut self.termination_signals);
         // A second signal during a drain is ignored. In particular, it must not start a hand-over.
         if !self.draining {
-            self.on_handover_event(HandoverEvent::Terminate);
+            self.terminate_once_settled();
         }
     }
 
--- a/crates/node/src/event_loop/handover/inherited_kernels.rs
+++ b/crates/node/src/event_loop/handover/inherited_kernels.rs
@@ -44,13 +44,15 @@
     /// Opens links to the kernels of earlier processes that still have runs, [`MAX_INHERITED_KERNELS`] at
     /// most.
     pub(super) fn inherit_kernels(&mut self, snapshots: &[kernel::KernelSnapshot]) {
+        let has_effect =
+            |name: &str| self.class_slots.find(name).is_none_or(|class| self.engine.has_effect(class));
         let expires_at = self.clock.now().plus(self.engine.longest_deadline()).plus(EXPIRY_GRACE);
         let busy = snapshots.iter().filter(|snapshot| !snapshot.runs.is_empty());
         self.handover.inherited_kernels = busy
             .take(MAX_INHERITED_KERNELS)
             .zip(FIRST_INHERITED_KERNEL..)
             .map(|(snapshot, key)| InheritedKernel {
-                kernel: Kernel::restore(snapshot, key, &self.system),
+                kernel: Kernel::restore(snapshot, key, &self.system, has_effect),
                 runs: snapshot.runs.iter().copied().collect(),
                 key,
                 expires_at,
@@ -75,12 +77,11 @@
         }
     }
 
-    /// Writes queued commands to the inherited kernels, and removes kernels that have no runs left. If a link
-    /// breaks, commands that were lost are sent again on the next link.
+    /// Writes queued commands to the inherited kernels, and removes kernels that have no runs left.
     pub(super) fn flush_inherited_kernels(&mut self) {
         let now = self.clock.now();
         for inherited in &mut self.handover.inherited_kernels {
-            inherited.kernel.flush(now);
+            inherited.kernel.flush(now, &mut self.counters);
         }
         self.handover.inherited_kernels.retain(|inherited| !inherited.runs.is_empty());
     }
--- a/crates/node/src/event_loop/handover/mod.rs
+++ b/crates/node/src/event_loop/handover/mod.rs
@@ -78,6 +78,9 @@
     pub(super) inherited_kernels: Vec<InheritedKernel<S>>,
     backend_start: Option<BackendStart>,
     next_search: Timestamp,
+    /// While a termination signal waits until the kernel has read all commands: the time at which it takes
+    /// effect at the latest.
+    terminates_at: Option<Timestamp>,
     /// Whether the process is to exit.
     pub(super) exit: bool,
 }
@@ -101,6 +104,7 @@
             inherited_kernels: Vec::new(),
             backend_start: None,
             next_search: Timestamp(0),
+            terminates_at: None,
             exit: false,
         }
     }
@@ -133,7 +137,10 @@
         let expiry = self.inherited_kernels.iter().map(|inherited| inherited.expires_at).min();
         let kernels =
             self.inherited_kernels.iter().filter_map(|inherited| inherited.kernel.next_wakeup()).min();
-        [search, stalled, expiry, kernels, self.machine.next_wakeup()].into_iter().flatten().min()
+        [search, stalled, expiry, kernels, self.terminates_at, self.machine.next_wakeup()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Tries to acquire the service lock. Returns the outcome as an event for the state machine.
@@ -185,6 +192,7 @@
             return;
         }
         self.on_handover_event(Event::Tick);
+        self.terminate_if_settled();
         self.search_if_due();
         self.expire_inherited_kernels();
         if self.handover.machine.is_active() {
@@ -211,7 +219,7 @@
         let mut kernel = None;
         if self.handover.machine.is_standby() {
             self.kernel.on_timer(now);
-            self.kernel.flush(now);
+            self.kernel.flush(now, &mut self.counters);
             kernel = self.kernel.next_wakeup();
         }
         self.admin.on_timer(now);
--- a/crates/node/src/event_loop/handover/predecessor.rs
+++ b/crates/node/src/event_loop/handover/predecessor.rs
@@ -13,6 +13,10 @@
 /// far below any deadline.
 pub(super) const STALL_TIMEOUT: Micros = Micros::millis(200);
 
+/// Maximum time for which a hand-over waits until the kernel has read all commands. A kernel answers within
+/// milliseconds.
+const SETTLE_TIMEOUT: Micros = Micros::millis(50);
+
 impl<S: System> Node<S> {
     /// Accepts hand-over links from other processes. Closes every link but the first at once.
     pub(in crate::event_loop) fn accept_successors(&mut self) {
@@ -157,6 +161,40 @@
         }
     }
 
+    /// Handles a termination signal. A predecessor first waits until the kernels have read all commands: a
+    /// command that is lost with the link must not be repeated by the successor in all cases.
+    pub(in crate::event_loop) fn terminate_once_settled(&mut self) {
+        let hands_over =
+            self.handover.machine.role() == Role::Predecessor && self.handover.replication.keys_complete;
+        if !hands_over {
+            return self.on_handover_event(Event::Terminate);
+        }
+        if self.handover.terminates_at.is_some() {
+            return;
+        }
+        self.kernel.hold();
+        self.handover.inherited_kernels.iter_mut().for_each(|inherited| inherited.kernel.hold());
+        self.handover.terminates_at = Some(self.clock.now().plus(SETTLE_TIMEOUT));
+        self.terminate_if_settled();
+    }
+
+    /// Has a termination signal that waits take effect, once no command is on its way to a kernel, or if that
+    /// takes too long.
+    pub(super) fn terminate_if_settled(&mut self) {
+        let Some(at) = self.handover.terminates_at else { return };
+        let inherited = &self.handover.inherited_kernels;
+        let is_settled =
+            self.kernel.is_settled() && inherited.iter().all(|inherited| inherited.kernel.is_settled());
+        let is_predecessor = self.handover.machine.role() == Role::Predecessor;
+        if is_predecessor && !is_settled && self.clock.now() < at {
+            return;
+        }
+        self.handover.terminates_at = None;
+        self.kernel.release();
+        self.handover.inherited_kernels.iter_mut().for_each(|inherited| inherited.kernel.release());
+        self.on_handover_event(Event::Terminate);
+    }
+
     /// Stops all work, queues the whole state for the successor and releases the service lock.
     pub(super) fn hand_over(&mut self) {
         tracing::info!(
--- a/crates/node/src/event_loop/kernel_events.rs
+++ b/crates/node/src/event_loop/kernel_events.rs
@@ -99,6 +99,32 @@
         inherited.map_or(&mut self.kernel, |inherited| &mut inherited.kernel)
     }
 
+    /// Fails the attempts of runs of which it stayed unknown whether the kernel read a command: to repeat the
+    /// command could run the attempt twice, or give its run the reply to another call.
+    pub(super) fn fail_lost_runs(&mut self) {
+        let now = self.clock.now();
+        let mut lost = self.kernel.take_lost_runs(now);
+        for inherited in &mut self.handover.inherited_kernels {
+            lost.extend(inherited.kernel.take_lost_runs(now));
+        }
+        for id in lost {
+            self.fail_lost_run(id);
+        }
+    }
+
+    fn fail_lost_run(&mut self, id: RequestId) {
+        self.counters.runs_lost += 1;
+        // The run may still work. The end of a run with an effect is left to the kernel.
+        let class = self.attempts.get(&id).map(|attempt| attempt.class);
+        if self.engine.can_preempt() && class.is_some_and(|class| !self.engine.has_effect(class)) {
+            self.preempt_run(id);
+        }
+        self.handover.inherited_kernels.iter_mut().for_each(|inherited| {
+            inherited.runs.remove(&id);
+        });
+        self.notify_engine(EngineEvent::RunEnded(id, RunOutcome::Failed));
+    }
+
     pub(super) fn on_kernel_link_change(&mut self, change: Change) {
         if change == Change::Broken {
             self.notify_engine(EngineEvent::BackendLink(false));
@@ -112,7 +138,11 @@
             return self.forward_call_outcomes(calls);
         }
         for call in calls {
-            if let Some(reply) = &call.reply {
+            // The engine may have given up the call because of an earlier end in `calls`. Its run may then
+            // wait for another call.
+            let is_awaited = self.engine.awaits_call(call.id);
+            self.counters.replies_outdated += u64::from(!is_awaited && call.reply.is_some());
+            if let (true, Some(reply)) = (is_awaited, &call.reply) {
                 self.kernel_of(call.id).complete_call(call.id, reply);
             }
             self.notify_engine(EngineEvent::CallEnded(call.id, call.outcome, call.latency));
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -44,7 +44,6 @@
 use gaugestand_admission::RequestId;
 use gaugestand_admission::classes::ClassSlots;
 use gaugestand_admission::engine::{CallOutcome, Engine, EngineEvent, RunOutcome};
-use gaugestand_admission::handover::Event as HandoverEvent;
 use gaugestand_admission::time::{Micros, Timestamp};
 use gaugestand_idempotency::{BreakerState, KeyTable};
 use handover::HandoverState;
@@ -315,6 +314,7 @@
         if let Some(change) = self.kernel.on_timer(now) {
             self.on_kernel_link_change(change);
         }
+        self.fail_lost_runs();
         let ended = self.store.on_timer(now, &mut self.counters);
         self.on_calls_ended(ended);
         let failed = self.health_checks.request(now, &mut self.kernel, &mut self.counters);
@@ -352,7 +352,7 @@
             // The successor is told of a run before the kernel is: otherwise a keyed attempt could run twice
             // if this process died between the two.
             let replicated = self.replicate_keys();
-            let kernel = if replicated { self.kernel.flush(now) } else { None };
+            let kernel = if replicated { self.kernel.flush(now, &mut self.counters) } else { None };
             let ended = self.store.flush(now);
             let gone = self.connections.flush(now, &mut self.counters);
             if kernel.is_none() && ended.is_empty() && gone.is_empty() {
--- a/crates/node/src/io/link.rs
+++ b/crates/node/src/io/link.rs
@@ -70,6 +70,9 @@
     /// Whether the peer has closed the connection, a read has failed, or the owner has severed the link: the
     /// next flush then takes the link down. Until then the owner can consume the input that remains.
     has_ended: bool,
+    /// Whether each read goes on until nothing is left, so that the end of the connection is seen together
+    /// with the last bytes before it.
+    reads_to_end: bool,
 }
 
 impl<S: System> Link<S> {
@@ -87,9 +90,16 @@
             queued_bytes: 0,
             written_before_down: 0,
             has_ended: false,
+            reads_to_end: false,
         }
     }
 
+    /// Has each read go on until nothing is left. This takes a system call more for each readiness event;
+    /// without it, bytes may be written to a connection whose end has arrived.
+    pub fn reading_to_end(self) -> Self {
+        Link { reads_to_end: true, ..self }
+    }
+
     /// Creates a link that is up, from a connection that the peer has made. Once it is down, its owner does
     /// not connect it again.
     pub fn accepted(stream: S::Stream, from: SocketAddr, key: usize, system: &S) -> Self {
@@ -222,7 +232,8 @@
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(length) => {
                     self.input.extend(&chunk[..length]);
-                    if length < READ_CHUNK_BYTES || self.input.len() >= MAX_INPUT_BYTES {
+                    let may_be_all = length < READ_CHUNK_BYTES && !self.reads_to_end;
+                    if may_be_all || self.input.len() >= MAX_INPUT_BYTES {
                         return Ok(());
                     }
                 }
--- a/crates/node/src/kernel/mod.rs
+++ b/crates/node/src/kernel/mod.rs
@@ -1,43 +1,30 @@
-//! The link to the kernel: resends commands after a reconnect, and delivers each notice once.
+//! The link to the kernel: sends commands, keeps those that the kernel may not have read, and delivers each
+//! notice once.
 //!
 //! The kernel numbers its notices. After a reconnect it repeats the notices after the last one that the node
 //! read; a notice that was read before is skipped. The node keeps a command until the kernel has shown that
 //! it read the command: by ending the run, by requesting the run's outbound call, or by answering a question
 //! that was sent after the command. After a reconnect, the node first reads all repeated notices, and then
-//! resends the commands that it still keeps: commands that the repeated notices show to be done are not
-//! resent.
+//! decides on each command that it still keeps by the table in `unconfirmed`.
 //!
-//! The link does not guarantee that a command is carried out, as the kernel may have died. It makes no
-//! decision about runs.
+//! The link does not guarantee that a command is carried out: a command that must not be repeated may be lost
+//! with the link, and its run then counts as lost. The link makes no other decision about runs.
 
 mod protocol;
+mod unconfirmed;
 
 use super::counters::Counters;
 use super::io::System;
 use super::io::link::{Change, Link};
 use gaugestand_admission::time::Timestamp;
 use gaugestand_admission::{Gauges, RequestId};
+use protocol::Command;
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
 use std::net::SocketAddr;
+use unconfirmed::UnconfirmedCommands;
 
 pub use protocol::{BadLine, CommandKind, Line, MAX_LINE_BYTES, Notice, parse_line};
 
-/// Maximum number of commands kept until the kernel has shown that it read them. Above this number the oldest
-/// command is dropped: so many commands are kept only if the link is down for long, and by then the deadline
-/// of the oldest request has long passed.
-const MAX_UNCONFIRMED: usize = 8192;
-
-/// A command that the kernel may not have read.
-#[derive(Debug)]
-struct Unconfirmed {
-    /// An answer to the question with this ticket, or with a higher one, shows that the kernel read the
-    /// command.
-    confirming_ticket: u64,
-    id: RequestId,
-    text: String,
-}
-
 /// The state of the link to a kernel, with which the successor continues the runs of that kernel. Serialised
 /// in a hand-over, whose format includes the names and the order of the fields.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -49,6 +36,10 @@
     last_cursor: u64,
     #[serde(rename = "unread")]
     unconfirmed: Vec<(RequestId, String)>,
+    /// Indices of the unconfirmed commands that the kernel cannot have read. A process that does not know
+    /// this field treats them as the others.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    unsent: Vec<usize>,
     /// Requests whose runs this kernel executes and reports on.
     pub runs: Vec<RequestId>,
 }
@@ -64,7 +55,7 @@
     link_number: u64,
     /// Number of the last notice read.
     last_cursor: u64,
-    unconfirmed: VecDeque<Unconfirmed>,
+    unconfirmed: UnconfirmedCommands,
     /// Ticket of the last question; tickets count up from 1.
     last_ticket: u64,
     /// Names of the gauges, in the order in which the kernel sends their values.
@@ -72,6 +63,11 @@
     /// After a reconnect: ticket of the question whose answer shows that all repeated notices have been read.
     /// `None` once it is answered.
     barrier_ticket: Option<u64>,
+    /// Whether the answer to that question was read, and the commands that may be repeated are to be sent at
+    /// the end of this iteration: notices that were read together with the answer are handled before.
+    resend_due: bool,
+    /// Whether further commands wait until [`Kernel::release`].
+    is_holding: bool,
     /// Whether the kernel has reported on the present link that it is up.
     booted: bool,
 }
@@ -81,12 +77,14 @@
     /// `key`.
     pub fn new(address: SocketAddr, key: usize, system: &S, gauge_names: &[String]) -> Self {
         Kernel {
-            link: Link::new(address, key, system),
+            link: Link::new(address, key, system).reading_to_end(),
             key,
             system: system.clone(),
             link_number: 0,
             last_cursor: 0,
-            unconfirmed: VecDeque::new(),
+            unconfirmed: UnconfirmedCommands::default(),
+            resend_due: false,
+            is_holding: false,
             last_ticket: 0,
             gauge_names: gauge_names.to_vec(),
             barrier_ticket: None,
@@ -98,34 +96,63 @@
 
     /// Returns the state of the link for a hand-over; `runs` are the requests that run on this kernel.
     pub fn snapshot(&self, runs: Vec<RequestId>) -> KernelSnapshot {
-        let commands = self.unconfirmed.iter();
         KernelSnapshot {
             address: self.link.address(),
             last_cursor: self.last_cursor,
-            unconfirmed: commands.map(|command| (command.id, command.text.clone())).collect(),
+            unconfirmed: self.unconfirmed.texts(),
+            unsent: self.unconfirmed.unsent_indices(self.link.written()),
             runs,
         }
     }
 
     /// Creates a link, not connected yet, to the kernel of the predecessor. The kernel's notices continue
-    /// after the last one that the predecessor read, and commands that the kernel may not have read are
-    /// resent.
-    pub fn restore(snapshot: &KernelSnapshot, key: usize, system: &S) -> Self {
+    /// after the last one that the predecessor read. `has_effect` tells whether a run of the class with a
+    /// name has an effect.
+    pub fn restore(
+        snapshot: &KernelSnapshot,
+        key: usize,
+        system: &S,
+        has_effect: impl Fn(&str) -> bool,
+    ) -> Self {
         let mut kernel = Kernel::new(snapshot.address, key, system, &[]);
         kernel.last_cursor = snapshot.last_cursor;
-        let commands = snapshot.unconfirmed.iter().cloned();
-        let unconfirmed = commands.map(|(id, text)| Unconfirmed { confirming_ticket: 1, id, text });
-        kernel.unconfirmed = unconfirmed.collect();
+        for (index, (id, text)) in snapshot.unconfirmed.iter().enumerate() {
+            let command = protocol::parse_command(text, &has_effect);
+            if snapshot.unsent.contains(&index) {
+                kernel.unconfirmed.push_unsent(*id, command, text.clone());
+            } else {
+                kernel.unconfirmed.push_in_doubt(*id, command, text.clone());
+            }
+        }
         kernel
     }
 
+    /// Holds further commands until [`Kernel::release`], and asks the kernel for an answer that shows that it
+    /// has read the earlier ones.
+    pub fn hold(&mut self) {
+        if self.is_linked() {
+            self.is_holding = true;
+            self.request_gauges();
+        }
+    }
+
+    /// Ends [`Kernel::hold`]: the commands that waited are sent at the end of this iteration.
+    pub fn release(&mut self) {
+        self.resend_due |= std::mem::take(&mut self.is_holding);
+    }
+
+    /// Whether no command is on its way to the kernel, so that closing the link loses none.
+    pub fn is_settled(&self) -> bool {
+        !self.unconfirmed.has_sent()
+    }
+
     /// Closes the link; the next [`Kernel::on_timer`] connects again.
     pub fn unlink(&mut self) {
         self.relink(self.link.address());
     }
 
     /// Replaces the address of the kernel, and returns whether it has changed. The numbers of the notices
-    /// continue, and commands that may have been lost with the old link are resent on the new one.
+    /// continue, and commands that may have been lost with the old link are treated as after a break.
     pub fn move_to(&mut self, address: SocketAddr) -> bool {
         if self.link.address() == address {
             return false;
@@ -135,12 +162,19 @@
     }
 
     fn relink(&mut self, address: SocketAddr) {
-        self.link = Link::new(address, self.key, &self.system);
+        self.on_link_down();
+        self.link = Link::new(address, self.key, &self.system).reading_to_end();
+    }
+
+    fn on_link_down(&mut self) {
+        self.unconfirmed.on_link_down(self.link.written());
         self.reset_link_state();
     }
 
     fn reset_link_state(&mut self) {
         self.barrier_ticket = None;
+        self.resend_due = false;
+        self.is_holding = false;
         self.booted = false;
     }
 
@@ -156,10 +190,10 @@
         self.link.is_up() && self.booted
     }
 
-    /// Whether commands are sent at once: the kernel is up, and all notices that it repeats after a reconnect
-    /// have been read.
+    /// Whether commands are sent at once: the kernel is up, all notices that it repeats after a reconnect
+    /// have been read, and commands are not held.
     pub fn is_linked(&self) -> bool {
-        self.is_booted() && self.barrier_ticket.is_none()
+        self.is_booted() && self.barrier_ticket.is_none() && !self.resend_due && !self.is_holding
     }
 
     /// Sets the names of the gauges, in the order in which the kernel sends their values.
@@ -184,26 +218,28 @@
 
     // ---- Commands ------------------------------------------------------------------------------------
 
-    /// Commands the kernel to run a request of this class.
-    pub fn run(&mut self, id: RequestId, class: &str, body: &[u8]) {
-        self.command(id, protocol::run(id, class, body));
+    /// Commands the kernel to run a request of this class. `has_effect` tells whether a second run would have
+    /// an effect.
+    pub fn run(&mut self, id: RequestId, class: &str, body: &[u8], has_effect: bool) {
+        self.command(id, Command::Run { has_effect }, protocol::run(id, class, body));
     }
 
     /// Commands the kernel to stop the run of a request.
     pub fn preempt(&mut self, id: RequestId) {
-        self.command(id, protocol::preempt(id));
+        self.command(id, Command::Preempt, protocol::preempt(id));
     }
 
-    /// Passes the reply to an outbound call to the run that made the call, so that the run continues.
+    /// Passes the reply to an outbound call to the run that made the call, so that the run continues. The
+    /// command does not name the call: the run must be waiting for this one.
     pub fn complete_call(&mut self, id: RequestId, reply: &[u8]) {
-        self.command(id, protocol::complete_call(id, reply));
+        self.command(id, Command::CompleteCall, protocol::complete_call(id, reply));
     }
 
     /// Commands the kernel to continue a run without the outbound call that the notice with the number
     /// `cursor` requested. The command is idempotent: the kernel distinguishes the calls of one run by that
     /// number.
     pub fn skip_call(&mut self, id: RequestId, cursor: u64) {
-        self.command(id, protocol::skip_call(id, cursor));
+        self.command(id, Command::SkipCall, protocol::skip_call(id, cursor));
     }
 
     /// Asks the kernel for the values of its gauges.
@@ -221,21 +257,22 @@
 
     /// Sends a command at once if [`Kernel::is_linked`], and keeps it until the kernel has shown that it read
     /// the command.
-    fn command(&mut self, id: RequestId, text: String) {
-        if self.is_linked() {
-            self.send(&text);
-        }
-        if self.unconfirmed.len() >= MAX_UNCONFIRMED {
-            self.unconfirmed.pop_front();
+    fn command(&mut self, id: RequestId, command: Command, text: String) {
+        if !self.is_linked() {
+            return self.unconfirmed.push_unsent(id, command, text);
         }
-        self.unconfirmed.push_back(Unconfirmed { confirming_ticket: self.last_ticket + 1, id, text });
+        let position = send_line(&mut self.link, &text);
+        self.unconfirmed.push_sent(id, command, text, position, self.last_ticket + 1);
     }
 
     fn send(&mut self, text: &str) {
-        let mut line = Vec::with_capacity(text.len() + 1);
-        line.extend(text.as_bytes());
-        line.push(b'\n');
-        self.link.send(line);
+        send_line(&mut self.link, text);
+    }
+
+    /// Requests whose runs count as lost, as it stayed unknown whether the kernel read a command that must
+    /// not be repeated.
+    pub fn take_lost_runs(&mut self, now: Timestamp) -> Vec<RequestId> {
+        self.unconfirmed.take_lost(now)
     }
 
     // ---- Notices -------------------------------------------------------------------------------------
@@ -289,43 +326,39 @@
         }
     }
 
-    /// Drops the commands that a notice shows to have been read, and resends the others once a reconnect is
-    /// complete.
+    /// Drops the commands that a notice shows to have been read.
     fn confirm_commands(&mut self, notice: &Notice, counters: &mut Counters) {
         match notice {
             Notice::Booted { .. } => {
                 self.booted = true;
                 // The kernel may not have read the commands that were sent on the previous link. It repeats
-                // all notices before it answers this question, and commands that they show to be done are not
-                // resent.
+                // all notices before it answers this question, and they may show which commands it has read.
                 self.request_gauges();
                 self.barrier_ticket = Some(self.last_ticket);
             }
             Notice::RunEnded(id, _) | Notice::CallRequested { id, .. } => {
-                self.unconfirmed.retain(|command| command.id != *id);
+                self.unconfirmed.confirm_request(*id);
             }
             Notice::Gauges(ticket, _) if self.barrier_ticket == Some(*ticket) => {
                 self.barrier_ticket = None;
-                self.resend_unconfirmed();
+                self.resend_due = true;
             }
             Notice::Gauges(ticket, _) if self.barrier_ticket.is_none() => {
-                while self.unconfirmed.front().is_some_and(|command| command.confirming_ticket <= *ticket) {
-                    self.unconfirmed.pop_front();
-                }
+                self.unconfirmed.confirm_ticket(*ticket);
             }
             Notice::CommandRejected(..) => counters.commands_rejected += 1,
             _ => {}
         }
     }
 
-    fn resend_unconfirmed(&mut self) {
-        let texts: Vec<String> = self.unconfirmed.iter().map(|command| command.text.clone()).collect();
-        for text in texts {
-            self.send(&text);
-        }
-        for command in &mut self.unconfirmed {
-            command.confirming_ticket = self.last_ticket + 1;
+    /// Decides on the commands that the kernel may not have read, once a reconnect is complete.
+    fn resend_if_due(&mut self, now: Timestamp, counters: &mut Counters) {
+        if !std::mem::take(&mut self.resend_due) {
+            return;
         }
+        let link = &mut self.link;
+        let in_doubt = self.unconfirmed.resend(now, self.last_ticket + 1, |text| send_line(link, text));
+        counters.commands_in_doubt += in_doubt;
     }
 
     // ---- The link ------------------------------------------------------------------------------------
@@ -335,17 +368,26 @@
         self.link.on_timer(now).or_else(|| self.link.connect(now))
     }
 
-    /// When to call [`Kernel::on_timer`] again.
+    /// When to call [`Kernel::on_timer`] and [`Kernel::take_lost_runs`] again.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        self.link.next_wakeup(true)
+        self.link.next_wakeup(true).into_iter().chain(self.unconfirmed.next_expiry()).min()
     }
 
     /// Ends an iteration: writes queued bytes, and reports a link that has broken.
-    pub fn flush(&mut self, now: Timestamp) -> Option<Change> {
+    pub fn flush(&mut self, now: Timestamp, counters: &mut Counters) -> Option<Change> {
+        self.resend_if_due(now, counters);
         let change = self.link.flush(now);
         if change.is_some() {
-            self.reset_link_state();
+            self.on_link_down();
         }
         change
     }
 }
+
+/// Queues a line on the link; returns the position of its first byte.
+fn send_line<S: System>(link: &mut Link<S>, text: &str) -> u64 {
+    let mut line = Vec::with_capacity(text.len() + 1);
+    line.extend(text.as_bytes());
+    line.push(b'\n');
+    link.send(line)
+}
--- a/crates/node/src/kernel/protocol.rs
+++ b/crates/node/src/kernel/protocol.rs
@@ -50,6 +50,54 @@
     Remark,
 }
 
+/// A command about a request's run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Command {
+    /// SCHED: run the request.
+    Run {
+        /// Whether a second run would have an effect that a caller can notice.
+        has_effect: bool,
+    },
+    /// PREEMPT: stop the run.
+    Preempt,
+    /// IODONE: pass the reply to the call that the run waits for.
+    CompleteCall,
+    /// NOIO: continue the run without one call, which the command names by its number.
+    SkipCall,
+}
+
+impl Command {
+    /// Whether the kernel may read the command twice, whatever the run has done in between.
+    pub(super) fn is_repeatable(self) -> bool {
+        match self {
+            Command::Run { has_effect } => !has_effect,
+            Command::Preempt | Command::SkipCall => true,
+            Command::CompleteCall => false,
+        }
+    }
+}
+
+/// A command as an earlier process wrote it. The serialised names are those of the protocol.
+#[derive(Deserialize)]
+struct RawCommand<'a> {
+    #[serde(borrow)]
+    event: Cow<'a, str>,
+    #[serde(borrow, rename = "entry")]
+    class: Option<Cow<'a, str>>,
+}
+
+/// Returns which command a text is; `has_effect` tells whether a run of the class with a name has an effect.
+/// A text that is not known is one that may not be repeated.
+pub(super) fn parse_command(text: &str, has_effect: impl Fn(&str) -> bool) -> Command {
+    let Ok(raw) = serde_json::from_str::<RawCommand>(text) else { return Command::CompleteCall };
+    match &*raw.event {
+        "SCHED" => Command::Run { has_effect: raw.class.is_none_or(|class| has_effect(&class)) },
+        "PREEMPT" => Command::Preempt,
+        "NOIO" => Command::SkipCall,
+        _ => Command::CompleteCall,
+    }
+}
+
 /// Kind of a command that the kernel did not carry out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CommandKind {
--- a/tests/support/kernel.rs
+++ b/tests/support/kernel.rs
@@ -102,6 +102,20 @@
         STANDARD.decode(command["arg"].as_str().unwrap_or("")).expect("a command body in base64")
     }
 
+    /// Reads the next command that is not a poll for gauges, and leaves the polls before it without an
+    /// answer: the node cannot know that the kernel has read the command. Returns the event and the request.
+    pub fn next_command_without_answers(&mut self) -> (String, String) {
+        let began = Instant::now();
+        loop {
+            let message = self.next_message();
+            assert!(began.elapsed() < TEST_TIMEOUT, "the node sent only polls for gauges");
+            if message["event"] != "SYSINFO" {
+                let text = |key: &str| message[key].as_str().unwrap_or_default().to_string();
+                return (text("event"), text("handle"));
+            }
+        }
+    }
+
     /// Answers the next `polls` polls for gauges. Panics if the node sends any other command.
     pub fn expect_nothing(&mut self, polls: u64) {
         for _ in 0..polls {
