Release the buffers of long records, and count each connection once

Found by reading the code of the budget: the buffer of an incomplete record kept its capacity when it was empty. Clients with long records could so use up the budget with buffers that nothing can free, and complete requests would have got 503. Change: an empty buffer gives its memory back; the table counts a connection's own size once; a rejection ends a connection that was not to be kept. Test: connections_release_the_buffers_of_long_records.

--- a/crates/node/src/connections/connection.rs
+++ b/crates/node/src/connections/connection.rs
@@ -150,6 +150,13 @@
         self.state.closes_after_write |= !keeps_connection;
     }
 
+    /// Queues the rejection of a request that was not read completely and never ran; unless
+    /// `keeps_connection`, the connection ends once it is written.
+    pub fn reject(&mut self, fcgi_id: u16, keeps_connection: bool) {
+        self.queue(fastcgi::end_request(fcgi_id, protocol_status::OVERLOADED));
+        self.state.closes_after_write |= !keeps_connection;
+    }
+
     /// Queues bytes, which have to be complete FastCGI records.
     pub fn queue(&mut self, bytes: impl Into<Vec<u8>>) {
         self.state.output.push(bytes);
@@ -187,11 +194,11 @@
 
     // ---- Memory --------------------------------------------------------------------------------------
 
-    /// Bytes of memory that the connection takes, with its open requests and its output.
+    /// Bytes of memory that the buffers and open requests of the connection take.
     pub fn memory_bytes(&self) -> usize {
         let state = &self.state;
         let requests = state.open_requests.values().map(OpenRequest::memory_bytes).sum::<usize>();
-        size_of::<Self>() + state.partial_record.capacity() + state.output.memory_bytes() + requests
+        state.partial_record.capacity() + state.output.memory_bytes() + requests
     }
 
     /// FastCGI ids of the requests of which not all records have been read.
@@ -308,8 +315,13 @@
     /// complete records preceded it; if so, `INCOMPLETE_TIMEOUT` starts anew.
     pub fn keep_partial_record(&mut self, now: Timestamp, rest: &[u8], follows_record: bool) {
         if !self.state.reading_stopped {
-            self.state.partial_record.clear();
-            self.state.partial_record.extend_from_slice(rest);
+            if rest.is_empty() {
+                // The capacity is released: a client could otherwise keep it with an empty buffer.
+                self.state.partial_record = Vec::new();
+            } else {
+                self.state.partial_record.clear();
+                self.state.partial_record.extend_from_slice(rest);
+            }
             let since = self.state.partial_since.filter(|_| !follows_record).unwrap_or(now);
             self.state.partial_since = Some(since).filter(|_| !rest.is_empty());
         }
--- a/crates/node/src/connections/table.rs
+++ b/crates/node/src/connections/table.rs
@@ -21,7 +21,7 @@
     pub id: ConnectionId,
     /// Whether any request of the connection was answered with a result.
     pub has_served: bool,
-    /// Bytes of memory that the connection takes.
+    /// Bytes of memory that the buffers and open requests of the connection take.
     pub bytes: usize,
 }
 
--- a/crates/node/src/event_loop/memory.rs
+++ b/crates/node/src/event_loop/memory.rs
@@ -7,7 +7,6 @@
 
 use super::Node;
 use crate::connections::{ConnectionId, RequestRef};
-use crate::fastcgi::{self, protocol_status};
 use crate::io::System;
 use crate::response::{Response, http_status};
 use gaugestand_admission::time::Micros;
@@ -99,12 +98,10 @@
 
     /// Rejects a request of which not all records have been read; it never ran.
     fn reject_incomplete(&mut self, request: RequestRef) {
-        if self.connections.take_request(request).is_none() {
-            return;
-        }
+        let Some(open) = self.connections.take_request(request) else { return };
         self.counters.requests_over_memory += 1;
         if let Some(connection) = self.connections.get(request.connection) {
-            connection.queue(fastcgi::end_request(request.fcgi_id, protocol_status::OVERLOADED));
+            connection.reject(request.fcgi_id, open.keeps_connection());
         }
     }
 
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -137,3 +137,33 @@
     let mut scene = check_memory(&input);
     assert!(scene.counter("requests_over_memory") > 0);
 }
+
+/// Guards against buffers that stay as large as the longest record that was ever incomplete: complete requests would
+/// be rejected for lack of memory that is not in use.
+#[test]
+fn connections_release_the_buffers_of_long_records() {
+    let mut scene = Scene::new(|configuration| {
+        configuration["limits"]["memory_mb"] = json!(MEMORY_MB / 2);
+        configuration["limits"]["sockets"] = json!(512);
+    });
+    let mut kernel = scene.connect_kernel();
+    let pair = name_value_pair("HTTP_X_OTHER", &"x".repeat(15_000));
+    let mut first = fcgi_record(PARAMS, 1, &pair);
+    let second = first.split_off(14_000);
+    let mut gateway = scene.gateway();
+    let mut clients: Vec<Gateway> = (0..CLIENTS).map(|_| scene.gateway()).collect();
+    for client in &mut clients {
+        client.send(&[begin_record(1), first.clone()].concat());
+        // The node has read the first part once it has answered a request that was sent later.
+        gateway.health_check("");
+        client.send(&[second.clone(), fcgi_record(PARAMS, 1, &[]), fcgi_record(STDIN, 1, &[])].concat());
+        assert_eq!(client.response().status, "404 Not Found");
+    }
+    gateway.request(1, "quote", TXN_A, b"q");
+    kernel.expect("SCHED", TXN_A);
+    kernel.reap(TXN_A, "good", b"r");
+    assert_eq!(status_and_body(&gateway.response()), (1, "200", &b"r"[..]));
+    let budget = MEMORY_MB / 2 * 1024 * 1024 / 8;
+    let used = scene.counter("connection_bytes");
+    assert!(used < budget / 2, "{used} of {budget} bytes");
+}
