--- a/crates/node/src/kernel/unconfirmed.rs
+++ b/crates/node/src/kernel/unconfirmed.rs
@@ -212,3 +212,6 @@
         lost
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/write_queue.rs
+++ b/crates/node/src/write_queue.rs
@@ -139,3 +139,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
