Simulated world: runs make two calls, and the kernel checks each reply

Cause: a run made one call and the kernel took any reply, so that a reply to an earlier call could not be seen.

--- a/crates/simulation/src/fakes/kernel.rs
+++ b/crates/simulation/src/fakes/kernel.rs
@@ -9,8 +9,10 @@
 
 /// Maximum number of notices that the kernel keeps to repeat them on a new link; it drops the oldest.
 const MAX_KEPT_NOTICES: usize = 4_000;
-/// Share of a run's work that is left when the run makes its outbound call.
-const CALL_AT_SHARE: f64 = 0.5;
+/// Number of outbound calls that a run makes one after the other, if it makes any.
+const CALLS_PER_RUN: u32 = 2;
+/// Share of a run's work that is done between two of its outbound calls, before the first and after the last.
+const CALL_INTERVAL_SHARE: f64 = 1.0 / (CALLS_PER_RUN as f64 + 1.0);
 
 /// Properties of a request that a gateway sent to the node. The kernel compares the node's commands with
 /// them.
@@ -22,9 +24,9 @@
     pub body: Vec<u8>,
     /// CPU time that its run needs on one core of speed 1.
     pub work: Micros,
-    /// Whether the run of the request makes an outbound call.
+    /// Whether the run of the request makes outbound calls.
     pub calls: bool,
-    /// Whether the run may continue without that call.
+    /// Whether the run may continue without a call.
     pub skips: bool,
 }
 
@@ -32,11 +34,15 @@
 struct Run {
     /// Work that is left, in microseconds on one core of speed 1.
     work_left: f64,
-    /// Value of `work_left` at which the run makes its outbound call; `None` if it makes none or has made it.
+    /// Value of `work_left` at which the run makes its next outbound call; `None` if it makes no further one.
     call_at: Option<f64>,
-    /// Whether the run waits for the reply to its outbound call; it uses no core meanwhile.
+    /// Work between two outbound calls of the run.
+    call_interval: f64,
+    /// Number of the run's latest outbound call; 0 before the first.
+    call_number: u32,
+    /// Whether the run waits for the reply to its latest outbound call; it uses no core meanwhile.
     awaits_call: bool,
-    /// Cursor of the notice that requested the outbound call; 0 before that.
+    /// Cursor of the notice that requested the latest outbound call; 0 before the first.
     call_notice: u64,
     skips: bool,
     started: Timestamp,
@@ -51,6 +57,8 @@
     Result(String, Vec<u8>),
     /// A command for this request has another class or body than the request that the gateway sent.
     AlteredRequest(String),
+    /// The run of this request got another reply than that to the call that it waited for.
+    WrongReply(String),
     /// The node sent a command that the settings of the site do not allow; the text says which.
     ForbiddenCommand(String),
 }
@@ -164,14 +172,17 @@
         for (id, run) in self.runs.iter_mut().filter(|(_, r)| !r.awaits_call) {
             run.work_left -= passed;
             if run.call_at.is_some_and(|at| run.work_left <= at + 0.5) {
-                (run.call_at, run.awaits_call) = (None, true);
-                calling.push(id.clone());
+                run.call_number += 1;
+                run.awaits_call = true;
+                let next = run.work_left - run.call_interval;
+                run.call_at = (run.call_number < CALLS_PER_RUN).then_some(next);
+                calling.push((id.clone(), run.call_number));
             } else if run.work_left <= 0.5 {
                 completed.push((id.clone(), run.started));
             }
         }
-        for id in calling {
-            let arg = STANDARD.encode(format!("call of {id}"));
+        for (id, call_number) in calling {
+            let arg = STANDARD.encode(call_body(&id, call_number));
             self.send_notice(json!({"event": "IOREQ", "handle": id, "arg": arg}));
             let cursor = self.cursor;
             if let Some(run) = self.runs.get_mut(&id) {
@@ -271,11 +282,7 @@
                 );
             }
             Some("SCHED") => self.start_run(now, id, command),
-            Some("IODONE") => {
-                if let Some(run) = self.runs.get_mut(&id) {
-                    run.awaits_call = false;
-                }
-            }
+            Some("IODONE") => self.complete_call(id, command),
             Some("NOIO") => {
                 let Some(run) = self.runs.get_mut(&id) else { return };
                 if !run.skips {
@@ -299,6 +306,18 @@
         }
     }
 
+    /// Passes a reply to the run of a request, which continues if it waits for a call. The command does not name
+    /// the call.
+    fn complete_call(&mut self, id: String, command: &Value) {
+        let Some(run) = self.runs.get_mut(&id).filter(|run| run.awaits_call) else { return };
+        run.awaits_call = false;
+        let reply = STANDARD.decode(command["arg"].as_str().unwrap_or("")).unwrap_or_default();
+        // The downstream tier replies with the body of the call.
+        if reply != call_body(&id, run.call_number).into_bytes() {
+            self.observed.push(Observation::WrongReply(id));
+        }
+    }
+
     /// Starts the run of a request, unless it is running already. The request must have been registered.
     fn start_run(&mut self, now: Timestamp, id: String, command: &Value) {
         let Some(facts) = self.requests.get(&id) else {
@@ -313,10 +332,23 @@
             return;
         }
         let work_left = facts.work.0 as f64;
-        let call_at = facts.calls.then_some(work_left * CALL_AT_SHARE);
-        let run =
-            Run { work_left, call_at, awaits_call: false, call_notice: 0, skips: facts.skips, started: now };
+        let call_interval = work_left * CALL_INTERVAL_SHARE;
+        let run = Run {
+            work_left,
+            call_at: facts.calls.then_some(work_left - call_interval),
+            call_interval,
+            call_number: 0,
+            awaits_call: false,
+            call_notice: 0,
+            skips: facts.skips,
+            started: now,
+        };
         self.runs.insert(id.clone(), run);
         self.observed.push(Observation::Started(id));
     }
 }
+
+/// The body of an outbound call of a request's run.
+fn call_body(id: &str, call_number: u32) -> String {
+    format!("call {call_number} of {id}")
+}
--- a/crates/simulation/src/world/actors.rs
+++ b/crates/simulation/src/world/actors.rs
@@ -88,6 +88,10 @@
                 }
                 Observation::Result(id, result) => self.rules.on_result(&id, result),
                 Observation::ForbiddenCommand(observed) => self.rules.report(now, "barred", observed),
+                Observation::WrongReply(id) => {
+                    let text = format!("the run of {id} got another reply than that to its call");
+                    self.rules.report(now, "changed", text);
+                }
                 Observation::AlteredRequest(id) => {
                     self.rules.report(
                         now,
