Simulated gateway: see an end that arrives with the last bytes

Cause: Network::read_all returns the bytes and the end only at a further event, which does not come when both arrive at one moment. Change: the gateway looks for the end after it has read.

--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -317,6 +317,11 @@
         if bytes.is_empty() && is_over { None } else { Some(bytes) }
     }
 
+    /// Whether an actor's side has read everything, and no more can arrive.
+    pub fn has_ended(&self, side: Side) -> bool {
+        self.endpoints.get(&side).is_some_and(|endpoint| endpoint.ended || endpoint.reset)
+    }
+
     /// Sends bytes from an actor's side; unlike the node, an actor may exceed the buffer size.
     pub fn write_all(&mut self, side: Side, bytes: &[u8]) {
         self.send_bytes(side, bytes);
--- a/crates/simulation/src/world/actors.rs
+++ b/crates/simulation/src/world/actors.rs
@@ -68,7 +68,11 @@
         let now = self.now();
         let bytes = self.net.borrow_mut().read_all(side);
         if let Some(bytes) = bytes {
-            return self.on_answer_bytes(now, side, &bytes);
+            self.on_answer_bytes(now, side, &bytes);
+            // The end may have arrived together with the last bytes.
+            if !self.net.borrow().has_ended(side) {
+                return;
+            }
         }
         if let Some(connection) = self.connections.get(&side) {
             connection.open_ids().iter().for_each(|id| self.rules.on_closed(now, id));
