Test of released buffers: connect each client just before it sends

Trace: it connected 400 clients and then served one after the other; the node ends a connection that is silent for 1.5 s, which the last ones were. Each now connects when its turn comes; what is checked is the same.

--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -151,13 +151,16 @@
     let mut first = fcgi_record(PARAMS, 1, &pair);
     let second = first.split_off(14_000);
     let mut gateway = scene.gateway();
-    let mut clients: Vec<Gateway> = (0..CLIENTS).map(|_| scene.gateway()).collect();
-    for client in &mut clients {
+    let mut clients = Vec::new();
+    for _ in 0..CLIENTS {
+        // Each client connects only now: the node ends a connection that stays silent for 1.5 s.
+        let mut client = scene.gateway();
         client.send(&[begin_record(1), first.clone()].concat());
         // The node has read the first part once it has answered a request that was sent later.
         gateway.health_check("");
         client.send(&[second.clone(), fcgi_record(PARAMS, 1, &[]), fcgi_record(STDIN, 1, &[])].concat());
         assert_eq!(client.response().status, "404 Not Found");
+        clients.push(client);
     }
     gateway.request(1, "quote", TXN_A, b"q");
     kernel.expect("SCHED", TXN_A);
