Kernel link: one phase in place of four flags

booted, barrier_ticket, resend_due and is_holding excluded each other; LinkPhase names the five states that are left.

--- a/crates/node/src/kernel/mod.rs
+++ b/crates/node/src/kernel/mod.rs
@@ -44,6 +44,23 @@
     pub runs: Vec<RequestId>,
 }
 
+/// What is known of the present link, which decides when commands are sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkPhase {
+    /// The kernel has not reported that it is up.
+    AwaitingBoot,
+    /// The kernel is up. The answer to the question with this ticket shows that all notices that it repeats
+    /// after a reconnect have been read.
+    AwaitingAnswer(u64),
+    /// That answer was read. Commands are sent at the end of this iteration: notices that were read together
+    /// with the answer are handled before.
+    ResendDue,
+    /// Commands are sent at once.
+    Open,
+    /// Commands wait until [`Kernel::release`].
+    Held,
+}
+
 /// The link to one kernel, with the commands that the kernel may not have read.
 #[derive(Debug)]
 pub struct Kernel<S: System> {
@@ -60,16 +77,7 @@
     last_ticket: u64,
     /// Names of the gauges, in the order in which the kernel sends their values.
     gauge_names: Vec<String>,
-    /// After a reconnect: ticket of the question whose answer shows that all repeated notices have been read.
-    /// `None` once it is answered.
-    barrier_ticket: Option<u64>,
-    /// Whether the answer to that question was read, and the commands that may be repeated are to be sent at
-    /// the end of this iteration: notices that were read together with the answer are handled before.
-    resend_due: bool,
-    /// Whether further commands wait until [`Kernel::release`].
-    is_holding: bool,
-    /// Whether the kernel has reported on the present link that it is up.
-    booted: bool,
+    phase: LinkPhase,
 }
 
 impl<S: System> Kernel<S> {
@@ -83,12 +91,9 @@
             link_number: 0,
             last_cursor: 0,
             unconfirmed: UnconfirmedCommands::default(),
-            resend_due: false,
-            is_holding: false,
             last_ticket: 0,
             gauge_names: gauge_names.to_vec(),
-            barrier_ticket: None,
-            booted: false,
+            phase: LinkPhase::AwaitingBoot,
         }
     }
 
@@ -131,14 +136,16 @@
     /// has read the earlier ones.
     pub fn hold(&mut self) {
         if self.is_linked() {
-            self.is_holding = true;
+            self.phase = LinkPhase::Held;
             self.request_gauges();
         }
     }
 
     /// Ends [`Kernel::hold`]: the commands that waited are sent at the end of this iteration.
     pub fn release(&mut self) {
-        self.resend_due |= std::mem::take(&mut self.is_holding);
+        if self.phase == LinkPhase::Held {
+            self.phase = LinkPhase::ResendDue;
+        }
     }
 
     /// Whether no command is on its way to the kernel, so that closing the link loses none.
@@ -168,14 +175,7 @@
 
     fn on_link_down(&mut self) {
         self.unconfirmed.on_link_down(self.link.written());
-        self.reset_link_state();
-    }
-
-    fn reset_link_state(&mut self) {
-        self.barrier_ticket = None;
-        self.resend_due = false;
-        self.is_holding = false;
-        self.booted = false;
+        self.phase = LinkPhase::AwaitingBoot;
     }
 
     // ---- State ---------------------------------------------------------------------------------------
@@ -187,13 +187,13 @@
 
     /// Whether the link is up, and the kernel has reported on it that it is up.
     pub fn is_booted(&self) -> bool {
-        self.link.is_up() && self.booted
+        self.link.is_up() && self.phase != LinkPhase::AwaitingBoot
     }
 
     /// Whether commands are sent at once: the kernel is up, all notices that it repeats after a reconnect
     /// have been read, and commands are not held.
     pub fn is_linked(&self) -> bool {
-        self.is_booted() && self.barrier_ticket.is_none() && !self.resend_due && !self.is_holding
+        self.link.is_up() && self.phase == LinkPhase::Open
     }
 
     /// Sets the names of the gauges, in the order in which the kernel sends their values.
@@ -289,7 +289,7 @@
         if change == Some(Change::Up) {
             counters.kernel_links += 1;
             self.link_number += 1;
-            self.reset_link_state();
+            self.phase = LinkPhase::AwaitingBoot;
             self.send(&protocol::open(self.last_cursor));
         }
         change
@@ -330,32 +330,35 @@
     fn confirm_commands(&mut self, notice: &Notice, counters: &mut Counters) {
         match notice {
             Notice::Booted { .. } => {
-                self.booted = true;
                 // The kernel may not have read the commands that were sent on the previous link. It repeats
                 // all notices before it answers this question, and they may show which commands it has read.
                 self.request_gauges();
-                self.barrier_ticket = Some(self.last_ticket);
+                self.phase = LinkPhase::AwaitingAnswer(self.last_ticket);
             }
             Notice::RunEnded(id, _) | Notice::CallRequested { id, .. } => {
                 self.unconfirmed.confirm_request(*id);
             }
-            Notice::Gauges(ticket, _) if self.barrier_ticket == Some(*ticket) => {
-                self.barrier_ticket = None;
-                self.resend_due = true;
-            }
-            Notice::Gauges(ticket, _) if self.barrier_ticket.is_none() => {
-                self.unconfirmed.confirm_ticket(*ticket);
-            }
+            Notice::Gauges(ticket, _) => self.on_answer(*ticket),
             Notice::CommandRejected(..) => counters.commands_rejected += 1,
             _ => {}
         }
     }
 
+    /// Handles the answer to a question about the gauges.
+    fn on_answer(&mut self, ticket: u64) {
+        match self.phase {
+            LinkPhase::AwaitingAnswer(awaited) if ticket == awaited => self.phase = LinkPhase::ResendDue,
+            LinkPhase::AwaitingAnswer(_) => {}
+            _ => self.unconfirmed.confirm_ticket(ticket),
+        }
+    }
+
     /// Decides on the commands that the kernel may not have read, once a reconnect is complete.
     fn resend_if_due(&mut self, now: Timestamp, counters: &mut Counters) {
-        if !std::mem::take(&mut self.resend_due) {
+        if self.phase != LinkPhase::ResendDue {
             return;
         }
+        self.phase = LinkPhase::Open;
         let link = &mut self.link;
         let in_doubt = self.unconfirmed.resend(now, self.last_ticket + 1, |text| send_line(link, text));
         counters.commands_in_doubt += in_doubt;
