One constructor for rejections, one line for an incomplete record

The rejections by version and by memory wrote the same response; both call Response::rejection now. keep_partial_record copies the rest in one branch. The divisor before a hand-over is called one.

--- a/crates/node/src/connections/connection.rs
+++ b/crates/node/src/connections/connection.rs
@@ -315,13 +315,8 @@
     /// complete records preceded it; if so, `INCOMPLETE_TIMEOUT` starts anew.
     pub fn keep_partial_record(&mut self, now: Timestamp, rest: &[u8], follows_record: bool) {
         if !self.state.reading_stopped {
-            if rest.is_empty() {
-                // The capacity is released: a client could otherwise keep it with an empty buffer.
-                self.state.partial_record = Vec::new();
-            } else {
-                self.state.partial_record.clear();
-                self.state.partial_record.extend_from_slice(rest);
-            }
+            // A new buffer, so that a client does not keep the capacity of its longest record.
+            self.state.partial_record = rest.to_vec();
             let since = self.state.partial_since.filter(|_| !follows_record).unwrap_or(now);
             self.state.partial_since = Some(since).filter(|_| !rest.is_empty());
         }
--- a/crates/node/src/event_loop/cluster/mod.rs
+++ b/crates/node/src/event_loop/cluster/mod.rs
@@ -20,7 +20,6 @@
 use gaugestand_admission::time::Micros;
 use gaugestand_cluster::consensus::Unacceptable;
 use gaugestand_cluster::version_gate::GateDecision;
-use std::rc::Rc;
 
 /// Whether a poller key belongs to the cluster: to the consensus log, to the listener for other nodes, or to
 /// a connection with another node.
@@ -99,12 +98,6 @@
             GateDecision::NoLease => self.counters.rejected_without_lease += 1,
             _ => self.counters.rejected_by_list += 1,
         }
-        Some(Response {
-            status: "503 Service Unavailable",
-            capacity: self.engine.capacity(),
-            retry_after,
-            no_retry_elsewhere,
-            body: Rc::from([]),
-        })
+        Some(Response::rejection(self.engine.capacity(), retry_after, no_retry_elsewhere))
     }
 }
--- a/crates/node/src/event_loop/memory.rs
+++ b/crates/node/src/event_loop/memory.rs
@@ -8,16 +8,15 @@
 use super::Node;
 use crate::connections::{ConnectionId, RequestRef};
 use crate::io::System;
-use crate::response::{Response, http_status};
+use crate::response::Response;
 use gaugestand_admission::time::Micros;
 use std::cmp::Reverse;
-use std::rc::Rc;
 
 /// Memory that the engine and the event loop keep for an admitted attempt besides its bodies, in bytes.
 const ATTEMPT_BYTES: usize = 1024;
-/// Share of the budget down to which memory is freed before a hand-over, in which the state of all
-/// connections is encoded while both processes exist.
-const HANDOVER_SHARE: usize = 2;
+/// Divisor of the budget that gives the memory down to which is freed before a hand-over, in which the state
+/// of all connections is encoded while both processes exist.
+const HANDOVER_DIVISOR: usize = 2;
 /// Retry-After of a request that is rejected for lack of memory.
 const MEMORY_RETRY_AFTER: Micros = Micros::millis(250);
 
@@ -36,7 +35,7 @@
     /// Frees memory before the state of all connections is encoded for a successor.
     pub(super) fn free_memory_for_handover(&mut self) {
         let counted = self.count_memory();
-        let target = self.memory_budget.limit() / HANDOVER_SHARE;
+        let target = self.memory_budget.limit() / HANDOVER_DIVISOR;
         if counted > target {
             self.free_memory(counted, target);
         }
@@ -81,10 +80,11 @@
             return bytes;
         }
         let incomplete = connection.incomplete_requests();
-        let ends = connection.has_partial_record() || !connection.has_served();
-        if incomplete.is_empty() && !connection.has_partial_record() {
+        let has_partial_record = connection.has_partial_record();
+        if incomplete.is_empty() && !has_partial_record {
             return 0;
         }
+        let ends = has_partial_record || !connection.has_served();
         for fcgi_id in incomplete {
             self.reject_incomplete(RequestRef { connection: id, fcgi_id });
         }
@@ -113,12 +113,6 @@
             return None;
         }
         self.counters.requests_over_memory += 1;
-        Some(Response {
-            status: http_status::SERVICE_UNAVAILABLE,
-            capacity: self.engine.capacity(),
-            retry_after: MEMORY_RETRY_AFTER,
-            no_retry_elsewhere: false,
-            body: Rc::from([]),
-        })
+        Some(Response::rejection(self.engine.capacity(), MEMORY_RETRY_AFTER, false))
     }
 }
--- a/crates/node/src/response.rs
+++ b/crates/node/src/response.rs
@@ -45,6 +45,16 @@
         Response { status, capacity, retry_after: Micros(0), no_retry_elsewhere: false, body: Rc::from([]) }
     }
 
+    /// The rejection of an attempt that never ran.
+    pub fn rejection(
+        capacity: Option<f64>,
+        retry_after: Micros,
+        no_retry_elsewhere: bool,
+    ) -> Response<'static> {
+        let status = http_status::SERVICE_UNAVAILABLE;
+        Response { retry_after, no_retry_elsewhere, ..Response::plain(status, capacity) }
+    }
+
     /// Whether the status is 200: the response contains a result, or a health check has passed.
     pub fn is_success(&self) -> bool {
         self.status.starts_with("200")
