Share the process status and the end of a simulated stream

tests/memory.rs and benches/record.rs each parsed the process status; both use Scene::memory_kb. Network::read_all and the new look for the end share Endpoint::is_over. Assertions and bounds stay.

--- a/benches/record.rs
+++ b/benches/record.rs
@@ -223,19 +223,6 @@
     thread::sleep(Duration::from_millis(3_100));
 }
 
-/// Resident memory of a process and its peak since the start, in kB.
-fn resident_and_peak_kb(pid: u32) -> (u64, u64) {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("reading the process status");
-    let field = |name: &str| {
-        let line = text.lines().find(|line| line.starts_with(name)).expect("a line of this name");
-        line.split_whitespace()
-            .nth(1)
-            .and_then(|number| number.parse().ok())
-            .expect("the memory in kB is a number")
-    };
-    (field("VmRSS:"), field("VmHWM:"))
-}
-
 /// Measures the time from the start of a node until it is healthy, and its memory, by the number of rows in
 /// the store.
 fn recovery() {
@@ -284,7 +271,7 @@
             let scene = store.scene(", entries = 2000000, memory_mb = 4096");
             let _kernel = AutoKernel::serve(&scene.kernel);
             scene.await_healthy();
-            let (resident, peak) = resident_and_peak_kb(scene.pid());
+            let (resident, peak) = (scene.memory_kb("VmRSS:"), scene.memory_kb("VmHWM:"));
             println!("{:8} {rows:9} {:13} {resident:13} {peak:9}", store.name(), began.elapsed().as_millis());
         }
     }
@@ -389,7 +376,7 @@
         let scene = store.scene("");
         let _kernel = AutoKernel::serve(&scene.kernel);
         scene.await_healthy();
-        let (resident, peak) = resident_and_peak_kb(scene.pid());
+        let (resident, peak) = (scene.memory_kb("VmRSS:"), scene.memory_kb("VmHWM:"));
         println!("{name:10} resident {resident} kB, peak {peak} kB");
     };
     if let Some(before) = std::env::var_os("GAUGESTAND_BEFORE") {
@@ -399,7 +386,7 @@
         measure_idle(&store, store.name());
     }
     let scene = Scene::with_script(Some("log(level = \"info\")"), lift_limits);
-    let (resident, peak) = resident_and_peak_kb(scene.pid());
+    let (resident, peak) = (scene.memory_kb("VmRSS:"), scene.memory_kb("VmHWM:"));
     println!("script     resident {resident} kB, peak {peak} kB (operators' settings without a store)");
 }
 
--- a/crates/simulation/src/fakes/kernel.rs
+++ b/crates/simulation/src/fakes/kernel.rs
@@ -306,8 +306,8 @@
         }
     }
 
-    /// Passes a reply to the run of a request, which continues if it waits for a call. The command does not name
-    /// the call.
+    /// Passes a reply to the run of a request, which continues if it waits for a call. The command does not
+    /// name the call.
     fn complete_call(&mut self, id: String, command: &Value) {
         let Some(run) = self.runs.get_mut(&id).filter(|run| run.awaits_call) else { return };
         run.awaits_call = false;
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -74,6 +74,13 @@
     last_arrival: Timestamp,
 }
 
+impl Endpoint {
+    /// Whether no more bytes can arrive: the other side has ended, reset or refused the connection.
+    fn is_over(&self) -> bool {
+        self.ended || self.reset || self.connected == Some(false)
+    }
+}
+
 /// Identifies one side of a connection by the number of the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Side {
@@ -312,14 +319,14 @@
     pub fn read_all(&mut self, side: Side) -> Option<Vec<u8>> {
         let endpoint = self.endpoints.get_mut(&side)?;
         let bytes: Vec<u8> = endpoint.inbox.drain(..).collect();
-        let is_over = endpoint.ended || endpoint.reset || endpoint.connected == Some(false);
+        let is_over = endpoint.is_over();
         self.record_read(side, bytes.len());
         if bytes.is_empty() && is_over { None } else { Some(bytes) }
     }
 
-    /// Whether an actor's side has read everything, and no more can arrive.
-    pub fn has_ended(&self, side: Side) -> bool {
-        self.endpoints.get(&side).is_some_and(|endpoint| endpoint.ended || endpoint.reset)
+    /// Whether no more bytes can arrive at an actor's side.
+    pub fn is_over(&self, side: Side) -> bool {
+        self.endpoints.get(&side).is_some_and(Endpoint::is_over)
     }
 
     /// Sends bytes from an actor's side; unlike the node, an actor may exceed the buffer size.
--- a/crates/simulation/src/world/actors.rs
+++ b/crates/simulation/src/world/actors.rs
@@ -70,7 +70,7 @@
         if let Some(bytes) = bytes {
             self.on_answer_bytes(now, side, &bytes);
             // The end may have arrived together with the last bytes.
-            if !self.net.borrow().has_ended(side) {
+            if !self.net.borrow().is_over(side) {
                 return;
             }
         }
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -52,14 +52,6 @@
     }
 }
 
-/// Anonymous memory of the program, in bytes: what it has allocated, without its own file and libraries.
-fn anonymous_memory(scene: &Scene) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", scene.pid())).expect("the status");
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("the line RssAnon");
-    let kb: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number of kilobytes");
-    kb * 1024
-}
-
 /// Sends `input` on many connections at once, and complete requests beside it. Checks the memory all the
 /// time.
 fn check_memory(input: &[u8]) -> Scene {
@@ -83,7 +75,8 @@
     let mut served = 0;
     while clients.iter().any(|client| !client.has_ended) || served < COMPLETE_REQUESTS {
         clients.iter_mut().for_each(Client::advance);
-        let bytes = anonymous_memory(&scene);
+        // What the program has allocated, without its own file and libraries.
+        let bytes = scene.memory_kb("RssAnon:") * 1024;
         assert!(bytes <= MEMORY_MB * 1024 * 1024 / 2, "{bytes} bytes of {MEMORY_MB} MB");
         if served < COMPLETE_REQUESTS {
             served += 1;
@@ -138,8 +131,8 @@
     assert!(scene.counter("requests_over_memory") > 0);
 }
 
-/// Guards against buffers that stay as large as the longest record that was ever incomplete: complete requests would
-/// be rejected for lack of memory that is not in use.
+/// Guards against buffers that stay as large as the longest record that was ever incomplete: complete
+/// requests would be rejected for lack of memory that is not in use.
 #[test]
 fn connections_release_the_buffers_of_long_records() {
     let mut scene = Scene::new(|configuration| {
--- a/tests/support/scene.rs
+++ b/tests/support/scene.rs
@@ -142,6 +142,16 @@
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
+
+    /// Memory of the program in kB: the value of a line of its process status, such as `VmRSS:`.
+    pub fn memory_kb(&self, line_start: &str) -> u64 {
+        let path = format!("/proc/{}/status", self.pid());
+        let status = std::fs::read_to_string(path).expect("reading the process status");
+        let value =
+            status.lines().find_map(|line| line.strip_prefix(line_start)).expect("a line of this name");
+        let number = value.split_whitespace().next().and_then(|number| number.parse().ok());
+        number.expect("the memory in kB is a number")
+    }
 }
 
 /// Starting, stopping and reloading the program.
