--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -205,6 +205,8 @@
     pub memory_mb: u64,
     pub sockets: u64,
     pub cores: u64,
+    /// Memory that the settings book for a remembered key.
+    pub key_kb: f64,
     pub classes: Vec<Class>,
 }
 
@@ -220,6 +222,7 @@
             memory_mb: 192,
             sockets: 512,
             cores: 6,
+            key_kb: 112.67,
             classes: vec![
                 class("timetable", "pure", 3_700, 5_000, store.is_some()),
                 class("fare-quote", "pure", 3_700, 5_000, store.is_some()),
@@ -245,7 +248,7 @@
         let store = self.store.map_or(String::new(), |port| format!(r#""store":"127.0.0.1:{port}","#));
         let below = if self.store.is_some() { "tier" } else { "silent" };
         format!(
-            r#"{{"name":"n3","listen":"127.0.0.1:1","kernel":"127.0.0.1:{}","members":"127.0.0.1:{}",{store}"seed":"8c1f30d27a5be964","stop_ms":{},"limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"settings":{{"classes":[{}],"fleet-size":11,"worth-by":"work","over-share-worth":0.1,"realms":[],"tick":2000000,"caps":{{"retry-after":true,"max-retry-after":1000000000}},"extra":{{"below":"{below}","callers":3,"calls-out":0.0,"class-calls":[{}],"class-skip-worth":[{}],"cold":false,"cores":{},"dep-window":5000000000,"fresh-for":0,"full-checks":true,"gauges":["cpu_busy","runnable","mem_used","sockets"],"halt":"discard","heeded":1000000000,"heap-kb":70698.0,"key-kb":112.67,"list-follows":true,"run-factor":8.0,"signal":"allowance","stays-for":200000000,"caller-idle":30000000000}},"rules":{{"grace-to-answer":80000000,"cold-share":0.22,"cold":18000000000,"drain-grace":1800000000,"fall":2000000000,"fall-multiple":5.0}}}}}}"#,
+            r#"{{"name":"n3","listen":"127.0.0.1:1","kernel":"127.0.0.1:{}","members":"127.0.0.1:{}",{store}"seed":"8c1f30d27a5be964","stop_ms":{},"limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"settings":{{"classes":[{}],"fleet-size":11,"worth-by":"work","over-share-worth":0.1,"realms":[],"tick":2000000,"caps":{{"retry-after":true,"max-retry-after":1000000000}},"extra":{{"below":"{below}","callers":3,"calls-out":0.0,"class-calls":[{}],"class-skip-worth":[{}],"cold":false,"cores":{},"dep-window":5000000000,"fresh-for":0,"full-checks":true,"gauges":["cpu_busy","runnable","mem_used","sockets"],"halt":"discard","heeded":1000000000,"heap-kb":70698.0,"key-kb":{:.2},"list-follows":true,"run-factor":8.0,"signal":"allowance","stays-for":200000000,"caller-idle":30000000000}},"rules":{{"grace-to-answer":80000000,"cold-share":0.22,"cold":18000000000,"drain-grace":1800000000,"fall":2000000000,"fall-multiple":5.0}}}}}}"#,
             self.kernel,
             self.members,
             self.stop_ms,
@@ -255,6 +258,7 @@
             calls.join(","),
             skips.join(","),
             self.cores,
+            self.key_kb,
         )
     }
 }
@@ -370,6 +374,7 @@
     faults: Vec<String>,
     check_ms: u64,
     result_bytes: usize,
+    is_quiet: bool,
     serial: u64,
 }
 
@@ -393,6 +398,11 @@
         lock(&self.state).check_ms = ms;
     }
 
+    /// Whether requests that the kernel does not know are left out of the record.
+    pub fn set_quiet(&self, is_quiet: bool) {
+        lock(&self.state).is_quiet = is_quiet;
+    }
+
     /// Sets the size up to which results are filled.
     pub fn set_result_bytes(&self, bytes: usize) {
         lock(&self.state).result_bytes = bytes;
@@ -523,7 +533,9 @@
         let body = decode64(&field(line, "arg").unwrap_or_default());
         let mut state = lock(&self.state);
         let Some(known) = state.known.get(&id).cloned() else {
-            self.record.line(&format!("kernel {address}: SCHED {id} is unknown: EINVAL"));
+            if !state.is_quiet {
+                self.record.line(&format!("kernel {address}: SCHED {id} is unknown: EINVAL"));
+            }
             let notice = format!(r#"{{"event":"EINVAL","fate":"SCHED","handle":"{id}"}}"#);
             return send(&mut state.addresses[address], &notice);
         };
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,8 +2,9 @@
 //! held, 2 if the case could not run.
 
 mod common;
+mod longer_window;
+mod memory_in_upgrade;
 mod slow_write;
-mod stalled_successor;
 mod withdrawn_check;
 
 use std::path::Path;
@@ -16,8 +17,9 @@
     let (root, folder) = (Path::new(root), Path::new(folder));
     common::limit_time(110);
     match case.as_str() {
+        "memory-in-upgrade" => memory_in_upgrade::run(root, folder),
         "slow-write" => slow_write::run(root, folder),
-        "stalled-successor" => stalled_successor::run(root, folder),
+        "longer-window" => longer_window::run(root, folder),
         "withdrawn-check" => withdrawn_check::run(root, folder),
         _ => common::cannot_run("no such case"),
     }
