--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 root=$(cd "$folder/../.." && pwd)
 program="$root/target/review-2/stand-ins"
 [ -x "$program" ] && [ -x "$root/target/release/gaugestand" ] || { echo "build first: see review/build-2.sh"; exit 2; }
-exec "$program" memory-in-upgrade "$root" "$folder"
+exec "$program" idle-clients "$root" "$folder"
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 //! held, 2 if the case could not run.
 
 mod common;
+mod idle_clients;
 mod longer_window;
 mod memory_in_upgrade;
 mod slow_write;
@@ -19,6 +20,7 @@
     match case.as_str() {
         "memory-in-upgrade" => memory_in_upgrade::run(root, folder),
         "slow-write" => slow_write::run(root, folder),
+        "idle-clients" => idle_clients::run(root, folder),
         "longer-window" => longer_window::run(root, folder),
         "withdrawn-check" => withdrawn_check::run(root, folder),
         _ => common::cannot_run("no such case"),
